--- /dev/null
+++ b/src/api/jobs.cpp
@@ -0,0 +1,347 @@
+#include "api/jobs.hpp"
+
+#include <algorithm>
+#include <set>
+
+namespace dunebridge::api {
+
+using core::LogLevel;
+using state::Outcome;
+using wire::JobPhase;
+using wire::JobStatus;
+
+namespace {
+constexpr std::size_t kMostKnown = 8000;
+constexpr std::size_t kMostWaiting = 400;
+constexpr int kMostTries = 5;
+constexpr int kMostConfirming = 2;
+constexpr int kMostCreating = 2;
+constexpr Millis kCallTimeout{1200};
+constexpr Millis kGiveUp{1500};
+constexpr int kRetryAfter_s = 1;
+// A node's share of the budgets; the leader's ledger has the larger part (core/ledger.cpp).
+constexpr double kWriteShare = 0.2;
+constexpr double kReadShare = 0.25;
+constexpr std::size_t kTxnBytes = 30 * 1024;
+
+std::string job_key(const JobId& id) { return "job/" + id.get(); }
+std::string end_key(const JobId& id) { return "end/" + id.get(); }
+}  // namespace
+
+Jobs::Jobs(core::Port& port, state::Store& store, const core::Config& config,
+           const std::vector<wire::MachineType>& types, Display display)
+    : port_(port),
+      store_(store),
+      config_(config),
+      types_(types),
+      display_(std::move(display)),
+      writes_(kWriteShare * config.state_write_rps),
+      reads_(kReadShare * config.state_rps) {}
+
+// ---- requests ----
+
+void Jobs::submit(RequestId request, const std::string& body) {
+    const auto doc = wire::Document::parse(body);
+    const auto id = doc ? wire::peek_job_id(doc->root()) : std::nullopt;
+    if (!id) {
+        port_.answer(request, 400, wire::encode_error("malformed"));
+        return;
+    }
+    Ask ask{request, *id, Intent::submit, 200, {}, {}, 0, port_.now()};
+    if (answer_if_ended(ask)) return;
+    try {
+        const auto job = wire::decode_job(doc->root());
+        if (types_.empty()) {
+            unavailable(ask);
+            return;
+        }
+        ask.error = refusal(job);
+        if (ask.error.empty()) {
+            wire::Writer w;
+            w.map(2).text("at").count(static_cast<std::uint64_t>(port_.wall_ms())).text("spec");
+            wire::encode_job(w, job);
+            ask.record = w.take();
+        } else {
+            ask.status = 422;
+        }
+    } catch (const wire::DecodeError& e) {
+        ask.error = e.what();
+        ask.status = 400;
+    }
+    // A known id is answered with its state, whatever else the repeat carries.
+    if (ask.status != 200) ask.intent = Intent::refuse;
+    enqueue(std::move(ask));
+}
+
+void Jobs::poll(RequestId request, const JobId& id) {
+    enqueue({request, id, Intent::poll, 200, {}, {}, 0, port_.now()});
+}
+
+void Jobs::abort(RequestId request, const JobId& id) {
+    Ask ask{request, id, Intent::abort, 200, {}, {}, 0, port_.now()};
+    if (answer_if_ended(ask)) return;
+    look_up(std::move(ask));
+}
+
+// Why a job can never run, empty if it can.
+std::string Jobs::refusal(const wire::JobSpec& job) const {
+    const auto team = std::find_if(config_.teams.begin(), config_.teams.end(),
+                                   [&](const auto& t) { return t.name == job.owner; });
+    if (team == config_.teams.end()) return "unknown team";
+    if (team->cpus_max > 0 && job.cores > team->cpus_max) return "over the team's limit";
+    if (team->gpus_max > 0 && job.accelerators > team->gpus_max) return "over the team's limit";
+    const bool fits = std::any_of(types_.begin(), types_.end(), [&](const auto& t) {
+        if (job.shapes && std::find(job.shapes->begin(), job.shapes->end(), t.name) ==
+                              job.shapes->end()) {
+            return false;
+        }
+        if (job.region && std::find(t.regions.begin(), t.regions.end(), *job.region) ==
+                              t.regions.end()) {
+            return false;
+        }
+        return t.cores >= job.cores && t.accelerators >= job.accelerators && t.ram_gb >= job.ram_gb;
+    });
+    return fits ? "" : "fits no allowed machine type";
+}
+
+// ---- answers ----
+
+void Jobs::answer_end(const Ask& ask, const JobStatus& end) {
+    port_.answer(ask.request, 200, wire::encode(end));
+}
+
+void Jobs::answer_open(const Ask& ask) {
+    const auto progress = display_(ask.id);
+    const auto phase = progress.running > 0 ? JobPhase::running : JobPhase::pending;
+    port_.answer(ask.request, 200,
+                 wire::encode(JobStatus{ask.id, phase, progress.done, progress.running}));
+}
+
+void Jobs::unavailable(const Ask& ask) {
+    port_.answer(ask.request, 503, wire::encode_error("try again"), kRetryAfter_s);
+}
+
+bool Jobs::answer_if_ended(const Ask& ask) {
+    const auto it = known_.find(ask.id);
+    if (it == known_.end() || !it->second.end) return false;
+    answer_end(ask, *it->second.end);
+    return true;
+}
+
+Jobs::Known& Jobs::remember(const JobId& id) {
+    auto [it, added] = known_.try_emplace(id);
+    if (added) {
+        ages_.push_back(id);
+        it->second.age = std::prev(ages_.end());
+        if (known_.size() > kMostKnown) {
+            known_.erase(ages_.front());
+            ages_.pop_front();
+        }
+    }
+    return it->second;
+}
+
+// ---- confirming ----
+
+void Jobs::enqueue(Ask ask) {
+    if (answer_if_ended(ask)) return;
+    auto& queue = ask.intent == Intent::submit ? creates_ : confirms_;
+    // Nobody is kept waiting for a service that does not answer, nor in a queue that only grows.
+    if (++ask.tries > kMostTries || queue.size() >= kMostWaiting ||
+        store_.silent_for() > Millis(300) || port_.now() - ask.since > kGiveUp) {
+        unavailable(ask);
+        return;
+    }
+    queue.push_back(std::move(ask));
+}
+
+void Jobs::tick() {
+    while (!confirms_.empty() && confirming_ < kMostConfirming) {
+        if (!reads_.take(1, port_.now())) {
+            port_.wake_at(reads_.ready_at(1, port_.now()));
+            break;
+        }
+        confirm();
+    }
+    while (!creates_.empty() && creating_ < kMostCreating) {
+        const auto n = static_cast<double>(std::min(creates_.size(), config_.state_txn_ops));
+        if (!writes_.take(n, port_.now())) {
+            port_.wake_at(writes_.ready_at(n, port_.now()));
+            break;
+        }
+        create();
+    }
+    // Those that waited too long for the budget are told to come back.
+    for (auto* queue : {&confirms_, &creates_}) {
+        while (!queue->empty() && port_.now() - queue->front().since > kGiveUp) {
+            unavailable(queue->front());
+            queue->pop_front();
+        }
+    }
+}
+
+void Jobs::confirm() {
+    std::vector<wire::Guard> guards;
+    std::vector<Ask> asks;
+    std::set<JobId> asked;
+    while (!confirms_.empty() && guards.size() + 2 <= store_.max_guards()) {
+        auto ask = std::move(confirms_.front());
+        confirms_.pop_front();
+        if (asked.insert(ask.id).second) {
+            const auto it = known_.find(ask.id);
+            guards.push_back({job_key(ask.id), it == known_.end() ? KeyRev() : it->second.job});
+            guards.push_back({end_key(ask.id), KeyRev()});
+        }
+        asks.push_back(std::move(ask));
+    }
+    ++confirming_;
+    store_.multi(guards, {}, kCallTimeout,
+                 [this, asks = std::move(asks)](const state::MultiResult& result) mutable {
+                     --confirming_;
+                     confirmed(std::move(asks), result);
+                 });
+}
+
+void Jobs::confirmed(std::vector<Ask> asks, const state::MultiResult& result) {
+    if (result.outcome == Outcome::ok) {
+        for (const auto& ask : asks) {
+            const auto it = known_.find(ask.id);
+            if (it != known_.end() && it->second.job != KeyRev()) {
+                answer_open(ask);
+            } else if (ask.intent == Intent::refuse) {
+                port_.answer(ask.request, ask.status, wire::encode_error(ask.error));
+            } else {
+                port_.answer(ask.request, 404, wire::encode_error("no such job"));
+            }
+        }
+        return;
+    }
+    if (result.outcome != Outcome::conflict) {
+        for (const auto& ask : asks) unavailable(ask);
+        return;
+    }
+    // Only the keys named as failed are known to differ; the rest is asked again.
+    const std::set<std::string> failed(result.failed.begin(), result.failed.end());
+    std::map<JobId, std::vector<Ask>> changed;
+    for (auto& ask : asks) {
+        if (failed.contains(job_key(ask.id)) || failed.contains(end_key(ask.id))) {
+            changed[ask.id].push_back(std::move(ask));
+        } else {
+            enqueue(std::move(ask));
+        }
+    }
+    for (auto& [id, group] : changed) {
+        for (auto& ask : group) look_up(std::move(ask));
+    }
+}
+
+void Jobs::look_up(Ask ask) {
+    store_.get(end_key(ask.id), kCallTimeout,
+               [this, ask = std::move(ask)](const state::GetResult& result) mutable {
+                   if (!result.answered) {
+                       unavailable(ask);
+                       return;
+                   }
+                   if (!result.row) {
+                       look_up_job(std::move(ask));
+                       return;
+                   }
+                   const auto v = result.row->value;
+                   const auto shards = v["shards"].count().value_or(0);
+                   const bool done = v["phase"].text() == wire::name_of(JobPhase::done);
+                   const JobStatus end{ask.id, done ? JobPhase::done : JobPhase::withdrawn,
+                                       done ? shards : 0, 0};
+                   remember(ask.id).end = end;
+                   answer_end(ask, end);
+               });
+}
+
+void Jobs::look_up_job(Ask ask) {
+    store_.get(job_key(ask.id), kCallTimeout,
+               [this, ask = std::move(ask)](const state::GetResult& result) mutable {
+                   if (!result.answered) {
+                       unavailable(ask);
+                       return;
+                   }
+                   remember(ask.id).job = result.row ? result.row->rev : KeyRev();
+                   if (ask.intent == Intent::abort && result.row) {
+                       withdraw(std::move(ask));
+                   } else {
+                       enqueue(std::move(ask));
+                   }
+               });
+}
+
+// ---- submissions ----
+
+void Jobs::create() {
+    std::vector<wire::Guard> guards;
+    std::vector<wire::Write> writes;
+    std::vector<Ask> asks;
+    std::set<JobId> asked;
+    std::size_t bytes = 0;
+    while (!creates_.empty() && writes.size() < config_.state_txn_ops && bytes < kTxnBytes) {
+        auto ask = std::move(creates_.front());
+        creates_.pop_front();
+        if (asked.insert(ask.id).second) {
+            guards.push_back({job_key(ask.id), KeyRev()});
+            guards.push_back({end_key(ask.id), KeyRev()});
+            bytes += ask.record.size() + 200;
+            writes.push_back({job_key(ask.id), ask.record, std::nullopt});
+        }
+        asks.push_back(std::move(ask));
+    }
+    ++creating_;
+    store_.multi(guards, writes, kCallTimeout,
+                 [this, asks = std::move(asks)](const state::MultiResult& result) mutable {
+                     --creating_;
+                     created(std::move(asks), result);
+                 });
+}
+
+void Jobs::created(std::vector<Ask> asks, const state::MultiResult& result) {
+    const std::set<std::string> failed(result.failed.begin(), result.failed.end());
+    for (auto& ask : asks) {
+        if (result.outcome == Outcome::ok) {
+            remember(ask.id).job = result.rev;
+            port_.answer(ask.request, 201,
+                         wire::encode(JobStatus{ask.id, JobPhase::pending, 0, 0}));
+        } else if (result.outcome != Outcome::conflict) {
+            // Not written, or not known: the user's repeat finds out.
+            unavailable(ask);
+        } else if (failed.contains(job_key(ask.id)) || failed.contains(end_key(ask.id))) {
+            ask.intent = Intent::poll;
+            look_up(std::move(ask));
+        } else {
+            enqueue(std::move(ask));
+        }
+    }
+}
+
+// ---- cancellations ----
+
+void Jobs::withdraw(Ask ask) {
+    const auto rev = remember(ask.id).job;
+    const auto value = wire::Writer()
+                           .map(2)
+                           .text("phase")
+                           .text(wire::name_of(JobPhase::withdrawn))
+                           .text("at")
+                           .count(static_cast<std::uint64_t>(port_.wall_ms()))
+                           .take();
+    store_.multi({{job_key(ask.id), rev}, {end_key(ask.id), KeyRev()}},
+                 {{end_key(ask.id), value, std::nullopt}}, kCallTimeout,
+                 [this, ask = std::move(ask)](const state::MultiResult& result) mutable {
+                     if (result.outcome == Outcome::ok) {
+                         const JobStatus end{ask.id, JobPhase::withdrawn, 0, 0};
+                         remember(ask.id).end = end;
+                         answer_end(ask, end);
+                     } else if (result.outcome == Outcome::conflict && ++ask.tries <= kMostTries) {
+                         look_up(std::move(ask));
+                     } else {
+                         unavailable(ask);
+                     }
+                 });
+}
+
+}  // namespace dunebridge::api
--- /dev/null
+++ b/src/api/jobs.hpp
@@ -0,0 +1,89 @@
+// The users' interface: submissions, polls and cancellations, at any node.
+//
+// A job is accepted by creating job/<id> while neither it nor end/<id> exists; it ends by creating
+// end/<id>, once. An answer that says a job is open, or unknown, is confirmed by a transaction
+// that only compares, many polls in one; without it the answer is 503 at once.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <list>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "cluster/peers.hpp"
+#include "core/config.hpp"
+#include "core/port.hpp"
+#include "state/store.hpp"
+#include "wire/messages.hpp"
+
+namespace dunebridge::api {
+
+class Jobs {
+  public:
+    // What the leader's own ledger or a peer's word tells of an open job, for display.
+    using Display = std::function<cluster::Progress(const JobId&)>;
+
+    Jobs(core::Port& port, state::Store& store, const core::Config& config,
+         const std::vector<wire::MachineType>& types, Display display);
+
+    void submit(RequestId request, const std::string& body);
+    void poll(RequestId request, const JobId& id);
+    void abort(RequestId request, const JobId& id);
+    void tick();
+
+  private:
+    enum class Intent : std::uint8_t { poll, submit, abort, refuse };
+    struct Ask {
+        RequestId request;
+        JobId id;
+        Intent intent = Intent::poll;
+        int status = 200;      // refuse: the answer if the job is not known
+        std::string error;     // refuse: why
+        std::string record;    // submit: the packed job/<id>
+        int tries = 0;
+        Instant since{};
+    };
+    // What this node believes of a job. An end never changes, an open job is confirmed each time.
+    struct Known {
+        KeyRev job;  // 0: no record
+        std::optional<wire::JobStatus> end;
+        std::list<JobId>::iterator age;
+    };
+
+    std::string refusal(const wire::JobSpec& job) const;
+    Known& remember(const JobId& id);
+    void answer_end(const Ask& ask, const wire::JobStatus& end);
+    void answer_open(const Ask& ask);
+    void unavailable(const Ask& ask);
+    void enqueue(Ask ask);
+    bool answer_if_ended(const Ask& ask);
+    void confirm();
+    void confirmed(std::vector<Ask> asks, const state::MultiResult& result);
+    void create();
+    void created(std::vector<Ask> asks, const state::MultiResult& result);
+    void look_up(Ask ask);
+    void look_up_job(Ask ask);
+    void withdraw(Ask ask);
+
+    core::Port& port_;
+    state::Store& store_;
+    const core::Config& config_;
+    const std::vector<wire::MachineType>& types_;
+    Display display_;
+    state::Budget writes_;
+    state::Budget reads_;
+
+    std::deque<Ask> confirms_;
+    std::deque<Ask> creates_;
+    int confirming_ = 0;
+    int creating_ = 0;
+    std::list<JobId> ages_;
+    std::unordered_map<JobId, Known> known_;
+};
+
+}  // namespace dunebridge::api
--- /dev/null
+++ b/src/app/runtime.cpp
@@ -0,0 +1,116 @@
+#include "app/runtime.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <chrono>
+
+namespace dunebridge::app {
+
+namespace asio = boost::asio;
+
+namespace {
+// Sockets kept back for calls to others, and for the process itself.
+constexpr std::size_t kReservedSockets = 160;
+constexpr std::size_t kBackConnections = 64;
+// Ids of the two servers' requests never meet.
+constexpr std::uint64_t kBackIds = std::uint64_t{1} << 62;
+constexpr auto kSweepEvery = std::chrono::seconds(10);
+
+spdlog::level::level_enum to_spdlog(core::LogLevel level) {
+    switch (level) {
+        case core::LogLevel::error:
+            return spdlog::level::err;
+        case core::LogLevel::info:
+            return spdlog::level::info;
+        default:
+            return spdlog::level::debug;
+    }
+}
+}  // namespace
+
+Runtime::Runtime(const core::Config& config, core::LogLevel level, std::uint64_t seed)
+    : config_(config), core_(config, seed, level) {
+    const auto most = config.fd_limit > 2 * kReservedSockets ? config.fd_limit - kReservedSockets
+                                                             : config.fd_limit / 2;
+    const auto take = [this](core::Plane plane) {
+        return [this, plane](net::HttpRequest&& r) {
+            post(core::Request{r.id, plane, std::move(r.method), std::move(r.target),
+                               std::move(r.body), r.too_large});
+        };
+    };
+    front_ = std::make_unique<net::HttpServer>(io_, config.public_addr, most, 0,
+                                               take(core::Plane::front));
+    back_ = std::make_unique<net::HttpServer>(io_, config.back_addr, kBackConnections, kBackIds,
+                                              take(core::Plane::back));
+}
+
+void Runtime::run() {
+    front_->start();
+    back_->start();
+    asio::co_spawn(io_, sweep(), asio::detached);
+    step();
+    io_.run();
+}
+
+Instant Runtime::now() {
+    return Instant(std::chrono::duration_cast<Millis>(
+        std::chrono::steady_clock::now().time_since_epoch()));
+}
+
+// Commands that come in the same turn of the loop are worked through as one batch.
+void Runtime::post(core::Command&& command) {
+    queue_.push_back(std::move(command));
+    if (step_posted_) return;
+    step_posted_ = true;
+    asio::post(io_, [this] { step(); });
+}
+
+void Runtime::step() {
+    step_posted_ = false;
+    std::vector<core::Command> batch;
+    batch.swap(queue_);
+    const auto wall = std::chrono::duration_cast<Millis>(
+        std::chrono::system_clock::now().time_since_epoch());
+    carry_out(core_.apply(std::move(batch), now(), wall.count()));
+    arm(core_.wake());
+}
+
+void Runtime::arm(Instant wake) {
+    const auto delay = std::max<Millis>(wake - now(), Millis(1));
+    timer_.expires_after(delay);
+    timer_.async_wait([this](boost::system::error_code ec) {
+        if (!ec && !step_posted_) step();
+    });
+}
+
+void Runtime::carry_out(core::Effects&& effects) {
+    for (const auto& line : effects.logs) {
+        spdlog::log(to_spdlog(line.level), "node={} {}", config_.name.get(), line.text);
+    }
+    for (auto& answer : effects.answers) {
+        auto& server = answer.id.get() >= kBackIds ? *back_ : *front_;
+        server.answer(std::move(answer));
+    }
+    for (auto& c : effects.calls) asio::co_spawn(io_, call(std::move(c)), asio::detached);
+}
+
+asio::awaitable<void> Runtime::call(core::HttpCall c) {
+    std::string address = c.endpoint;
+    if (c.service == core::Service::state) address = config_.state_addr;
+    if (c.service == core::Service::cloud) address = config_.cloud_addr;
+    auto reply = co_await client_.call(std::move(address), std::move(c.method),
+                                       std::move(c.target), std::move(c.body), c.timeout);
+    post(core::CallDone{c.id, std::move(reply)});
+}
+
+asio::awaitable<void> Runtime::sweep() {
+    asio::steady_timer timer(io_);
+    for (;;) {
+        timer.expires_after(kSweepEvery);
+        co_await timer.async_wait(asio::use_awaitable);
+        client_.sweep();
+    }
+}
+
+}  // namespace dunebridge::app
--- /dev/null
+++ b/src/app/runtime.hpp
@@ -0,0 +1,41 @@
+// Input and output around the core: carries requests and replies in, and effects out.
+#pragma once
+
+#include <utility>  // first: Boost 1.74's awaitable.hpp uses std::exchange without it
+
+#include <boost/asio.hpp>
+#include <memory>
+#include <vector>
+
+#include "core/core.hpp"
+#include "net/http_client.hpp"
+#include "net/http_server.hpp"
+
+namespace dunebridge::app {
+
+class Runtime {
+  public:
+    Runtime(const core::Config& config, core::LogLevel level, std::uint64_t seed);
+    void run();
+
+  private:
+    void post(core::Command&& command);
+    void step();
+    void carry_out(core::Effects&& effects);
+    void arm(Instant wake);
+    boost::asio::awaitable<void> call(core::HttpCall call);
+    boost::asio::awaitable<void> sweep();
+    static Instant now();
+
+    const core::Config config_;
+    boost::asio::io_context io_{1};
+    core::Core core_;
+    net::HttpClient client_{io_};
+    std::unique_ptr<net::HttpServer> front_;
+    std::unique_ptr<net::HttpServer> back_;
+    std::vector<core::Command> queue_;
+    bool step_posted_ = false;
+    boost::asio::steady_timer timer_{io_};
+};
+
+}  // namespace dunebridge::app
--- /dev/null
+++ b/src/app/settings.hpp
@@ -0,0 +1,19 @@
+// Settings: the platform's TOML file and the operators' optional XML file.
+#pragma once
+
+#include <stdexcept>
+#include <string>
+
+#include "core/config.hpp"
+
+namespace dunebridge::app {
+
+struct SettingsError : std::runtime_error {
+    using std::runtime_error::runtime_error;
+};
+
+// Reads both files. Throws SettingsError naming the file and the field. `operators_path` may be
+// empty: then the defaults hold.
+core::Config load_settings(const std::string& path, const std::string& operators_path);
+
+}  // namespace dunebridge::app
--- /dev/null
+++ b/src/cluster/election.cpp
@@ -0,0 +1,230 @@
+#include "cluster/election.hpp"
+
+namespace dunebridge::cluster {
+
+using core::LogLevel;
+using state::Outcome;
+
+namespace {
+constexpr Millis kRetry{300};
+constexpr Millis kWatchWait{20000};
+}  // namespace
+
+Election::Election(core::Port& port, state::Store& store, const core::Config& config)
+    : port_(port),
+      store_(store),
+      config_(config),
+      // A restarted node is a new incarnation: it must not take its predecessor's key for its own.
+      incarnation_(fmt::format("{:016x}", port.random())) {}
+
+std::string Election::lead_value(Term term) const {
+    return wire::Writer()
+        .map(3)
+        .text("node")
+        .text(config_.name.get())
+        .text("incarnation")
+        .text(incarnation_)
+        .text("term")
+        .count(term.get())
+        .take();
+}
+
+void Election::tick() {
+    const auto now = port_.now();
+    if (!observed_) {
+        if (!reading_ && now >= next_read_) observe();
+        if (!reading_) port_.wake_at(next_read_);
+    } else if (!watching_) {
+        watch();
+    }
+    const bool vacant = observed_ && seen_rev_ == KeyRev() && !leader_;
+    if (!campaigning_ && (renew_term_ || (vacant && eligible_))) {
+        if (now >= next_campaign_) {
+            campaign();
+        } else {
+            port_.wake_at(next_campaign_);
+        }
+    }
+    // A lease that no key hangs on is left to end by itself.
+    if (!leader_ && !campaigning_ && !renew_term_) lease_.reset();
+    if (lease_ && !renewing_) {
+        if (now >= next_renewal_) {
+            renew_lease();
+        } else {
+            port_.wake_at(next_renewal_);
+        }
+    }
+}
+
+void Election::observe() {
+    reading_ = true;
+    store_.list(kLeadKey, [this](const state::ListResult& result) {
+        reading_ = false;
+        if (!result.answered) {
+            next_read_ = port_.now() + kRetry + port_.jitter(kRetry);
+            return;
+        }
+        observed_ = true;
+        watch_from_ = result.rev;
+        bool found = false;
+        for (const auto& row : result.rows) {
+            if (row.key != kLeadKey) continue;
+            saw_lead(row.value, row.rev);
+            found = true;
+        }
+        if (!found) saw_no_lead();
+    });
+}
+
+void Election::watch() {
+    watching_ = true;
+    store_.watch(kLeadKey, watch_from_, kWatchWait, [this](const state::WatchResult& result) {
+        watching_ = false;
+        if (result.kind != state::WatchResult::Kind::changes) {
+            observed_ = false;
+            next_read_ = port_.now() + port_.jitter(kRetry);
+            return;
+        }
+        watch_from_ = result.rev;
+        for (const auto& change : result.changes) {
+            if (change.key != kLeadKey) continue;
+            change.removed ? saw_no_lead() : saw_lead(change.value, change.rev);
+        }
+    });
+}
+
+void Election::saw_lead(wire::Value value, KeyRev rev) {
+    // A read that was overtaken by this node's own later write says nothing new.
+    if (leader_ && rev.get() <= lead_rev_.get()) return;
+    seen_rev_ = rev;
+    seen_leader_ = NodeName(std::string(value["node"].text().value_or("")));
+    seen_term_ = Term(value["term"].count().value_or(0));
+    const bool own = value["incarnation"].text() == incarnation_;
+    if (!own) {
+        renew_term_ = false;
+        if (leader_) step_down("another node leads");
+        return;
+    }
+    if (rev == lead_rev_) {
+        // Left while the key still stood: something sent under this revision may still be under
+        // way, so this term must not be taken up again.
+        renew_term_ = true;
+        return;
+    }
+    // The answer to the proposal was lost or is overtaken: the key is this incarnation's, so no
+    // other node can hold a later term while it stands at this revision.
+    take_office(seen_term_, rev);
+}
+
+void Election::take_office(Term term, KeyRev rev) {
+    lead_rev_ = seen_rev_ = rev;
+    term_ = seen_term_ = term;
+    seen_leader_ = config_.name;
+    renew_term_ = false;
+    leader_ = true;
+    ++generation_;
+    port_.log(LogLevel::info, "event=elected node={} term={}", config_.name.get(), term.get());
+}
+
+void Election::saw_no_lead() {
+    seen_rev_ = KeyRev();
+    seen_leader_ = NodeName();
+    renew_term_ = false;
+    if (leader_) step_down("the leader key is gone");
+    next_campaign_ = port_.now() + port_.jitter(Millis(60));
+}
+
+void Election::campaign() {
+    campaigning_ = true;
+    const KeyRev over = renew_term_ ? lead_rev_ : KeyRev();
+    if (lease_) {
+        read_term(over);
+        return;
+    }
+    store_.create_lease(config_.tuning.leader_lease, [this, over](std::optional<LeaseId> lease) {
+        if (!lease) {
+            campaigning_ = false;
+            next_campaign_ = port_.now() + kRetry + port_.jitter(kRetry);
+            return;
+        }
+        lease_ = lease;
+        next_renewal_ = port_.now() + config_.tuning.leader_lease / 3;
+        read_term(over);
+    });
+}
+
+void Election::read_term(KeyRev over) {
+    store_.get(kTermKey, Millis(1500), [this, over](const state::GetResult& result) {
+        if (!result.answered) {
+            campaigning_ = false;
+            next_campaign_ = port_.now() + kRetry + port_.jitter(kRetry);
+            return;
+        }
+        TermRow last;
+        if (result.row) last = {Term(result.row->value.count().value_or(0)), result.row->rev};
+        propose(last, over);
+    });
+}
+
+void Election::propose(TermRow last, KeyRev over) {
+    const Term term(last.term.get() + 1);
+    const std::vector<wire::Guard> guards{{kLeadKey, over}, {kTermKey, last.rev}};
+    const std::vector<wire::Write> writes{
+        {kLeadKey, lead_value(term), lease_},
+        {kTermKey, wire::Writer().count(term.get()).take(), std::nullopt}};
+    store_.multi(guards, writes, Millis(1500), [this, term](const state::MultiResult& result) {
+        campaigning_ = false;
+        next_campaign_ = port_.now() + kRetry + port_.jitter(kRetry);
+        if (result.outcome == Outcome::ok) {
+            if (!leader_ || lead_rev_ != result.rev) take_office(term, result.rev);
+            return;
+        }
+        if (result.outcome == Outcome::no_lease) {
+            lease_.reset();
+            next_campaign_ = port_.now();
+        }
+        // Lost, or not known: what the key says now decides.
+        if (result.outcome == Outcome::conflict || result.outcome == Outcome::unknown) {
+            observed_ = false;
+            next_read_ = port_.now();
+        }
+    });
+}
+
+void Election::renew_lease() {
+    renewing_ = true;
+    const auto lease = *lease_;
+    store_.touch_lease(lease, [this, lease](int status) {
+        renewing_ = false;
+        const bool again_soon = status != 200;
+        next_renewal_ = port_.now() + config_.tuning.leader_lease / (again_soon ? 10 : 3);
+        if (status != 404) return;
+        if (lease_ == lease) lease_.reset();
+        if (leader_) step_down("the lease has ended");
+        observed_ = false;
+        next_read_ = port_.now();
+    });
+}
+
+void Election::step_down(const char* why) {
+    port_.log(LogLevel::info, "event=stepped_down node={} term={} why=\"{}\"", config_.name.get(),
+              term_.get(), why);
+    leader_ = false;
+    renew_term_ = false;
+}
+
+void Election::depose(Term newer) {
+    if (!leader_ || newer <= term_) return;
+    step_down("a peer knows a later term");
+    observed_ = false;
+    next_read_ = port_.now();
+}
+
+void Election::renew_term() {
+    if (!leader_) return;
+    step_down("a transaction's outcome is not known");
+    renew_term_ = true;
+    next_campaign_ = port_.now();
+}
+
+}  // namespace dunebridge::cluster
--- /dev/null
+++ b/src/cluster/election.hpp
@@ -0,0 +1,89 @@
+// Leadership: a conditional write under a lease, giving a new term.
+//
+// The lease only makes a dead leader's key go away. Safety comes from the key's revision: every
+// ledger transaction guards it, so nothing that a deposed leader still sends can be applied.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "base/types.hpp"
+#include "core/config.hpp"
+#include "core/port.hpp"
+#include "state/store.hpp"
+
+namespace dunebridge::cluster {
+
+inline constexpr const char* kLeadKey = "lead";
+inline constexpr const char* kTermKey = "term";
+
+class Election {
+  public:
+    Election(core::Port& port, state::Store& store, const core::Config& config);
+
+    void tick();
+
+    bool is_leader() const { return leader_; }
+    Term term() const { return term_; }
+    // Grows each time this node takes office, also when it follows itself.
+    std::uint64_t generation() const { return generation_; }
+    wire::Guard guard() const { return {kLeadKey, lead_rev_}; }
+    // The leader as last seen in the state service, empty if none.
+    const NodeName& seen_leader() const { return seen_leader_; }
+    Term seen_term() const { return seen_term_; }
+
+    // Another node is known to lead with a later term.
+    void depose(Term newer);
+    // The outcome of a ledger transaction is not known: take a new term over one's own key, so
+    // that the transaction can no longer be applied if it has not been.
+    void renew_term();
+    // Whether this node may stand; a node that the state service serves badly should not.
+    void set_eligible(bool eligible) { eligible_ = eligible; }
+
+  private:
+    struct TermRow {
+        Term term;
+        KeyRev rev;
+    };
+
+    void observe();
+    void watch();
+    void saw_lead(wire::Value value, KeyRev rev);
+    void saw_no_lead();
+    void campaign();
+    void read_term(KeyRev over);
+    void propose(TermRow last, KeyRev over);
+    void renew_lease();
+    void take_office(Term term, KeyRev rev);
+    void step_down(const char* why);
+    std::string lead_value(Term term) const;
+
+    core::Port& port_;
+    state::Store& store_;
+    const core::Config& config_;
+    std::string incarnation_;
+
+    bool leader_ = false;
+    bool eligible_ = true;
+    std::uint64_t generation_ = 0;
+    Term term_;
+    KeyRev lead_rev_;
+    NodeName seen_leader_;
+    Term seen_term_;
+    KeyRev seen_rev_;
+    bool observed_ = false;  // the lead key's state is known and watched
+
+    std::optional<LeaseId> lease_;
+    bool reading_ = false;
+    bool watching_ = false;
+    bool campaigning_ = false;
+    bool renewing_ = false;
+    bool renew_term_ = false;
+    KeyRev watch_from_;
+    Instant next_read_{};
+    Instant next_campaign_{};
+    Instant next_renewal_{};
+};
+
+}  // namespace dunebridge::cluster
--- /dev/null
+++ b/src/core/config.hpp
@@ -0,0 +1,76 @@
+// Everything the core is configured with.
+#pragma once
+
+#include <cstddef>
+#include <string>
+#include <vector>
+
+#include "base/types.hpp"
+#include "wire/messages.hpp"
+
+namespace dunebridge::core {
+
+struct Team {
+    std::string name;
+    double cpus = 0;  // guaranteed; 0: none
+    double gpus = 0;
+    double cpus_max = 0;  // 0: no limit
+    double gpus_max = 0;
+};
+
+struct Objective {
+    std::string kind;
+    std::string jobclass;
+    double within_s = 0;
+};
+
+struct KnownNode {
+    NodeName name;
+    std::string zone;
+    std::string back;  // address for the other controllers
+};
+
+// Operators' own settings (XML); the defaults are those measured in docs/measurements.md.
+struct Tuning {
+    // The priority line: jobs at or above it preempt best effort below it.
+    wire::Urgency preempts_from = wire::Urgency::urgent;
+    Millis slack{2000};          // added to a machine's earliest finish when ranking
+    Millis leader_lease{3000};   // time to live of the leader's lease
+    Millis idle_return{45000};   // a machine idle for so long is returned
+    double headroom = 1.25;      // capacity kept, as a multiple of the observed load
+};
+
+struct Config {
+    NodeName name;
+    std::string zone;
+    std::string public_addr;
+    std::string back_addr;
+    std::vector<KnownNode> known;
+    std::string cloud_addr;
+    std::string state_addr;
+
+    std::vector<std::string> zones;
+    Millis skew{0};
+    std::vector<Team> teams;
+    std::vector<Objective> objectives;
+
+    Millis report{3000};
+    Millis lease{30000};
+    Millis cancel{60000};
+
+    double state_rps = 200;
+    double state_write_rps = 80;
+    double state_value_kb = 16;
+    std::size_t state_txn_ops = 48;
+
+    double cloud_rps = 3;
+    Millis list_lag{8000};
+
+    double cpu = 1;
+    double memory_mb = 200;
+    std::size_t fd_limit = 1024;
+
+    Tuning tuning;
+};
+
+}  // namespace dunebridge::core
--- /dev/null
+++ b/src/core/core.cpp
@@ -0,0 +1,215 @@
+#include "core/core.hpp"
+
+#include <algorithm>
+
+#include "scheduler/scheduler.hpp"
+
+namespace dunebridge::core {
+
+namespace {
+constexpr Millis kTick{100};
+constexpr Millis kScheduleEvery{40};
+}  // namespace
+
+Core::Core(const Config& config, std::uint64_t seed, LogLevel level)
+    : config_(config),
+      port_(seed, level),
+      store_(port_, config_),
+      election_(port_, store_, config_),
+      peers_(port_, config_, [this] { return hello(); }),
+      ledger_(port_, store_, election_, config_),
+      workers_(port_, election_, ledger_, config_,
+               [this](const workers::Finished& f) { fleet_.learn(f); }),
+      fleet_(port_, election_, ledger_, workers_, config_),
+      jobs_(port_, store_, config_, fleet_.types(),
+            [this](const JobId& id) { return progress(id); }) {}
+
+Effects Core::apply(std::vector<Command>&& batch, Instant now, std::int64_t wall_ms) {
+    port_.set_time(now, wall_ms);
+    port_.reset_wake();
+    for (auto& command : batch) {
+        if (auto* request = std::get_if<Request>(&command)) {
+            handle(std::move(*request));
+        } else {
+            const auto& done = std::get<CallDone>(command);
+            port_.complete(done.id, done.reply);
+        }
+    }
+    port_.run_timers();
+    if (peers_.highest_term() > election_.term()) election_.depose(peers_.highest_term());
+    // Where the state service serves others but not this node, another should lead.
+    election_.set_eligible(store_.reachable());
+    election_.tick();
+    follow_leadership();
+    fleet_.tick_types();
+    if (leads()) {
+        fleet_.tick();
+        schedule();
+        workers_.tick();
+        ledger_.tidy();
+        ledger_.flush();
+    }
+    jobs_.tick();
+    peers_.tick();
+    port_.wake_at(now + kTick);
+    return port_.take();
+}
+
+void Core::follow_leadership() {
+    const bool leads_now = election_.is_leader();
+    if (leads_now && (!led_ || generation_ != election_.generation())) {
+        generation_ = election_.generation();
+        workers_.reset();
+        fleet_.reset();
+        ledger_.load();
+        peers_.hurry();
+    } else if (!leads_now && led_) {
+        ledger_.clear();
+        peers_.hurry();
+    }
+    led_ = leads_now;
+}
+
+// ---- requests ----
+
+void Core::handle(Request&& request) {
+    if (request.too_large) {
+        port_.answer(request.id, 400, wire::encode_error("body too large"));
+        return;
+    }
+    if (request.plane == Plane::back) {
+        handle_back(request);
+        return;
+    }
+    const auto path = request.target.substr(0, request.target.find('?'));
+    constexpr std::string_view jobs = "/v1/jobs";
+    const auto only = [&](std::string_view method) {
+        if (request.method == method) return true;
+        port_.answer(request.id, 405, wire::encode_error("method not allowed"));
+        return false;
+    };
+    if (path == "/ready") {
+        if (only("GET")) handle_ready(request);
+    } else if (path == "/checkin") {
+        if (only("POST")) handle_checkin(request);
+    } else if (path == jobs) {
+        if (only("POST")) jobs_.submit(request.id, request.body);
+    } else if (path.starts_with(jobs) && path[jobs.size()] == '/') {
+        handle_job(request, path.substr(jobs.size() + 1));
+    } else {
+        port_.answer(request.id, 404, wire::encode_error("no such path"));
+    }
+}
+
+void Core::handle_job(const Request& request, const std::string& rest) {
+    const auto slash = rest.find('/');
+    const auto id = rest.substr(0, slash);
+    const bool abort = slash != std::string::npos && rest.substr(slash) == "/abort";
+    if (slash != std::string::npos && !abort) {
+        port_.answer(request.id, 404, wire::encode_error("no such path"));
+    } else if (request.method != (abort ? "POST" : "GET")) {
+        port_.answer(request.id, 405, wire::encode_error("method not allowed"));
+    } else if (!wire::valid_job_id(id)) {
+        // No job can have such an id.
+        port_.answer(request.id, 404, wire::encode_error("no such job"));
+    } else if (abort) {
+        jobs_.abort(request.id, JobId(id));
+    } else {
+        jobs_.poll(request.id, JobId(id));
+    }
+}
+
+void Core::handle_back(const Request& request) {
+    if (request.method != "POST" || request.target != "/hello") {
+        port_.answer(request.id, 404, wire::encode_error("no such path"));
+        return;
+    }
+    try {
+        const auto doc = wire::Document::parse(request.body);
+        if (!doc) throw wire::DecodeError("not MessagePack");
+        peers_.heard(cluster::decode_hello(doc->root()));
+        port_.answer(request.id, 200, cluster::encode(hello()));
+    } catch (const wire::DecodeError& e) {
+        port_.log(LogLevel::error, "event=bad_hello error=\"{}\"", e.what());
+        port_.answer(request.id, 400, wire::encode_error(e.what()));
+    }
+}
+
+void Core::handle_checkin(const Request& request) {
+    if (!leads()) {
+        redirect(request.id);
+        return;
+    }
+    try {
+        const auto doc = wire::Document::parse(request.body);
+        if (!doc) throw wire::DecodeError("not MessagePack");
+        workers_.checkin(request.id, wire::decode_report(doc->root()));
+    } catch (const wire::DecodeError& e) {
+        port_.answer(request.id, 400, wire::encode_error(e.what()));
+    }
+}
+
+void Core::redirect(RequestId id) {
+    if (election_.is_leader()) {  // its ledger is still being read
+        port_.answer(id, 503, wire::encode_error("starting"), 1);
+        return;
+    }
+    auto leader = peers_.leader();
+    if (leader.get().empty() && store_.reachable()) leader = election_.seen_leader();
+    if (leader.get().empty() || leader == config_.name) {
+        port_.answer(id, 503, wire::encode_error("no leader"), 1);
+    } else {
+        port_.answer(id, 421, wire::encode_redirect(leader.get()));
+    }
+}
+
+void Core::handle_ready(const Request& request) {
+    ready() ? port_.answer(request.id, 200, wire::Writer().map(0).take())
+            : port_.answer(request.id, 503, wire::encode_error("not ready"), 1);
+}
+
+// In an outage of the state service every node is as good as any other and says so: going away
+// would only lengthen the outage for the users. Where others are served, they should take over.
+bool Core::ready() const {
+    if (fleet_.types().empty()) return false;
+    return store_.reachable() || !peers_.state_reachable_elsewhere();
+}
+
+// ---- peers ----
+
+cluster::Hello Core::hello() {
+    cluster::Hello h;
+    h.node = config_.name;
+    h.leads = leads();
+    h.term = election_.is_leader() ? election_.term() : peers_.highest_term();
+    h.state_reachable = store_.reachable();
+    if (!h.leads) return h;
+    for (const auto& [id, job] : ledger_.jobs()) {
+        if (job.state == JobState::open && (job.done > 0 || job.running > 0)) {
+            h.progress.push_back({id, job.done, job.running});
+        }
+    }
+    return h;
+}
+
+cluster::Progress Core::progress(const JobId& id) {
+    if (leads()) {
+        const auto* job = ledger_.find_job(id);
+        return job ? cluster::Progress{id, job->done, job->running} : cluster::Progress{id, 0, 0};
+    }
+    const auto it = peers_.progress().find(id);
+    return it == peers_.progress().end() ? cluster::Progress{id, 0, 0} : it->second;
+}
+
+// ---- placement ----
+
+void Core::schedule() {
+    if (port_.now() < next_schedule_) {
+        port_.wake_at(next_schedule_);
+        return;
+    }
+    next_schedule_ = port_.now() + kScheduleEvery;
+    scheduler::Scheduler(port_, ledger_, workers_, fleet_, config_).run();
+}
+
+}  // namespace dunebridge::core
--- /dev/null
+++ b/src/core/core.hpp
@@ -0,0 +1,80 @@
+// The one owner of a node's state. It works through commands in batches and returns effects.
+// Pure: no input or output, no clock and no randomness but what it is given.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "api/jobs.hpp"
+#include "cluster/election.hpp"
+#include "cluster/peers.hpp"
+#include "core/config.hpp"
+#include "core/ledger.hpp"
+#include "core/port.hpp"
+#include "fleet/fleet.hpp"
+#include "scheduler/placement.hpp"
+#include "state/store.hpp"
+#include "workers/workers.hpp"
+
+namespace dunebridge::core {
+
+enum class Plane : std::uint8_t { front, back };
+
+struct Request {
+    RequestId id;
+    Plane plane = Plane::front;
+    std::string method;
+    std::string target;
+    std::string body;
+    bool too_large = false;
+};
+struct CallDone {
+    CallId id;
+    HttpReply reply;
+};
+using Command = std::variant<Request, CallDone>;
+
+class Core {
+  public:
+    Core(const Config& config, std::uint64_t seed, LogLevel level);
+    Core(const Core&) = delete;
+    Core& operator=(const Core&) = delete;
+
+    Effects apply(std::vector<Command>&& batch, Instant now, std::int64_t wall_ms);
+    // When apply() wants to be called even without commands.
+    Instant wake() const { return port_.wake(); }
+
+    // For tests and measurements.
+    bool leads() const { return election_.is_leader() && ledger_.loaded(); }
+
+  private:
+    void handle(Request&& request);
+    void handle_back(const Request& request);
+    void handle_job(const Request& request, const std::string& rest);
+    void handle_checkin(const Request& request);
+    void handle_ready(const Request& request);
+    bool ready() const;
+    void redirect(RequestId id);
+    void follow_leadership();
+    void schedule();
+    cluster::Hello hello();
+    cluster::Progress progress(const JobId& id);
+
+    const Config config_;
+    Port port_;
+    state::Store store_;
+    cluster::Election election_;
+    cluster::Peers peers_;
+    Ledger ledger_;
+    workers::Workers workers_;
+    fleet::Fleet fleet_;
+    api::Jobs jobs_;
+    std::uint64_t generation_ = 0;
+    bool led_ = false;
+    Instant next_schedule_{};
+    Version scheduled_version_ = 0;
+};
+
+}  // namespace dunebridge::core
--- /dev/null
+++ b/src/core/ledger.hpp
@@ -0,0 +1,235 @@
+// The ledger: which tasks are on which machines, what is done, and which rentals are under way.
+//
+// Only the leader has one. Every change is made in memory first and marked dirty; flush() commits
+// dirty keys, oldest first, in transactions that guard the leader key, one at a time. A placement
+// may be acted on only once it is `committed`. A transaction without an answer ends the term: the
+// new term's revision of the leader key keeps the lost one from being applied later.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "base/types.hpp"
+#include "cluster/election.hpp"
+#include "core/config.hpp"
+#include "core/port.hpp"
+#include "state/store.hpp"
+#include "wire/messages.hpp"
+
+namespace dunebridge::core {
+
+using Version = std::uint64_t;  // counts the ledger's changes in memory
+
+enum class JobState : std::uint8_t {
+    open,
+    ending,  // every task is done; the end is being committed
+    ended    // done or withdrawn: nothing of it may run
+};
+
+struct Task {
+    std::uint8_t placements = 0;
+    bool done = false;
+    bool shielded = false;  // the paper's flag 2: stopped once by preemption
+};
+
+struct Job {
+    wire::JobSpec spec;
+    std::uint64_t serial = 0;
+    Instant submitted{};
+    JobState state = JobState::open;
+    Instant ended_at{};
+    std::vector<Task> tasks;
+    std::vector<std::uint32_t> waiting;  // neither done nor placed; taken from the back
+    std::uint32_t done = 0;
+    std::uint32_t placed = 0;
+    std::uint32_t running = 0;
+    std::map<std::string, std::uint32_t> zones;  // placements by zone
+    Version last_change = 0;
+
+    Instant retry_at{};  // after errors and refusals
+    Millis pause{0};
+    std::set<HostName> failed_on;
+};
+
+// How a start has left this leader.
+enum class Sent : std::uint8_t {
+    never,    // not on its way: certainly not sent, or known not to have been executed
+    direct,   // in the direct command now under way
+    checkin,  // in the answer to a check-in; settled by the next check-in
+    settled   // sent; a sure report shows whether it is there
+};
+
+struct Placement {
+    Job* job = nullptr;
+    std::uint32_t index = 0;
+    Attempt attempt;
+    bool committed = false;
+    bool in_commit = false;
+    Sent sent = Sent::never;
+    bool seen = false;
+    wire::TaskPhase phase = wire::TaskPhase::other;
+    Instant placed_at{};
+    Instant running_since{};
+    bool halting = false;
+    bool preempted = false;
+    double drain_s = 0;
+
+    TaskRef ref() const { return {job->spec.id, index}; }
+};
+
+// A task that the worker lists as exited and that must be cleared once its outcome is committed.
+struct Exited {
+    TaskRef task;
+    Attempt attempt;
+    Version outcome = 0;
+};
+
+using PlacementKey = std::pair<std::uint64_t, std::uint32_t>;  // job serial, index
+
+struct Machine {
+    HostName host;
+    std::string endpoint;
+    std::string shape;
+    std::string region;
+    bool spot = false;
+    std::map<PlacementKey, Placement> tasks;
+
+    // Dealings with the worker, of this term only.
+    bool reported = false;
+    ReportOrder last;
+    Epoch shown;
+    std::uint64_t fence = 0;
+    Instant known_since{};
+    Instant last_report{};
+    Instant last_reply{};
+    std::optional<Instant> taken_at;  // announced by a notice
+    bool in_direct = false;
+    Instant direct_after{};
+    bool wants_orders = false;
+    std::vector<Exited> exited;
+    std::vector<std::pair<TaskRef, Attempt>> strays;
+    Instant refused_until{};
+    std::set<JobId> errors;  // jobs that failed here since one last succeeded
+
+    // Dealings with the cloud.
+    bool starting = true;
+    bool listed = false;
+    std::uint32_t missing_lists = 0;
+    bool failed = false;
+    bool draining = false;
+    bool deleting = false;
+    Instant idle_since{};
+    std::set<std::string> images;  // seen running here; for ties only
+};
+
+struct TeamUse {
+    double cpus = 0;
+    double gpus = 0;
+};
+
+class Ledger {
+  public:
+    Ledger(Port& port, state::Store& store, cluster::Election& election, const Config& config);
+
+    // Reads everything for the term that has begun; loaded() tells when it is there.
+    void load();
+    bool loaded() const { return loaded_; }
+    void clear();
+
+    void add_job(wire::JobSpec spec, std::int64_t submitted_ms);
+    void withdraw(const JobId& id, std::int64_t at_ms);
+    Job* find_job(const JobId& id);
+    std::map<JobId, Job>& jobs() { return jobs_; }
+
+    Machine& add_machine(const HostName& host, const std::string& endpoint,
+                         const std::string& shape, const std::string& region, bool spot);
+    Machine* find_machine(const HostName& host);
+    std::map<HostName, Machine>& machines() { return machines_; }
+    // The machine is proved gone, and so is everything on it.
+    void drop_machine(Machine& machine);
+
+    void place(Job& job, Machine& machine);
+    // The placement is proved gone (or was never sent). The task waits again unless it is done.
+    void remove(Machine& machine, PlacementKey key);
+    void mark_done(Job& job, std::uint32_t index);
+    void mark_shielded(Job& job, std::uint32_t index);
+    void set_running(Placement& placement, bool running);
+
+    void add_claim(const wire::RentalRequest& request);
+    void remove_claim(const std::string& claim);
+    const std::map<std::string, wire::RentalRequest>& claims() const { return claims_; }
+    bool claim_committed(const std::string& claim) const;
+
+    const TeamUse& use(const std::string& team) { return use_[team]; }
+
+    Version version() const { return version_; }
+    // All changes up to this one are in the state service.
+    Version committed() const;
+    // Sends the next transaction if there is something to commit and none is under way.
+    void flush();
+    // Forgets ended jobs that have left no trace on any machine.
+    void tidy();
+
+  private:
+    struct Dirty {
+        Version first = 0;
+        Version last = 0;
+    };
+    struct Commit {
+        Version version = 0;
+        std::vector<std::pair<std::string, bool>> keys;  // and whether set or removed
+    };
+
+    void mark(const std::string& key);
+    void mark_progress(const Job& job, std::uint32_t index);
+    std::optional<std::string> value_of(const std::string& key);
+    std::string machine_value(const Machine& machine) const;
+    std::string progress_value(const Job& job, std::uint32_t chunk) const;
+    bool guard_placements(const std::string& key, std::vector<wire::Guard>& guards,
+                          std::set<std::string>& guarded, std::size_t room) const;
+    void finish_commit(const Commit& commit, const state::MultiResult& result);
+    void committed_keys(const Commit& commit);
+    void end_committed(const JobId& id);
+    void conflict(const state::MultiResult& result);
+    void attach(Machine& machine, Job& job, std::uint32_t index, Placement placement);
+
+    void load_jobs(const state::ListResult& rows);
+    void load_progress(const state::ListResult& rows);
+    void load_machines(const state::ListResult& rows);
+    void load_claims(const state::ListResult& rows);
+    void load_next(std::size_t step, std::uint64_t generation);
+    void check_ends(std::vector<JobId> ids, std::uint64_t generation);
+    void watch(const char* prefix, KeyRev from, std::uint64_t generation);
+    void apply_change(const state::Change& change);
+    bool current(std::uint64_t generation) const;
+
+    Port& port_;
+    state::Store& store_;
+    cluster::Election& election_;
+    const Config& config_;
+    state::Budget writes_;
+
+    bool loaded_ = false;
+    std::uint64_t generation_ = 0;
+    KeyRev load_rev_;
+    std::uint64_t next_serial_ = 0;
+    std::uint64_t next_attempt_ = 0;
+    std::map<JobId, Job> jobs_;
+    std::map<HostName, Machine> machines_;
+    std::map<std::string, wire::RentalRequest> claims_;
+    std::unordered_map<std::string, TeamUse> use_;
+
+    Version version_ = 0;
+    std::map<std::string, Dirty> dirty_;
+    std::set<std::string> stored_;  // keys of mach/, prog/ and rent/ that exist
+    bool in_commit_ = false;
+    Instant next_commit_{};
+};
+
+}  // namespace dunebridge::core
--- /dev/null
+++ b/src/core/port.hpp
@@ -0,0 +1,133 @@
+// What the core sees of the outside: a clock it is told, random numbers it is given, calls and
+// answers it asks for. The I/O layer (or a test) carries the effects out.
+#pragma once
+
+#include <fmt/format.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <random>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "base/types.hpp"
+
+namespace dunebridge::core {
+
+enum class Service : std::uint8_t { state, cloud, worker, peer };
+enum class LogLevel : std::uint8_t { error, info, debug };
+
+struct HttpCall {
+    CallId id;
+    Service service = Service::state;
+    std::string endpoint;  // workers and peers; the others have one address each
+    std::string method;
+    std::string target;
+    std::string body;
+    Millis timeout{1000};
+};
+
+// status 0: no answer; the request may have been carried out, or may yet be.
+// status -1: it was certainly not sent.
+struct HttpReply {
+    int status = 0;
+    std::string body;
+};
+
+struct Answer {
+    RequestId id;
+    int status = 200;
+    std::string body;
+    int retry_after_s = 0;
+};
+
+struct LogLine {
+    LogLevel level = LogLevel::info;
+    std::string text;
+};
+
+struct Effects {
+    std::vector<HttpCall> calls;
+    std::vector<Answer> answers;
+    std::vector<LogLine> logs;
+};
+
+class Port {
+  public:
+    using Continuation = std::function<void(const HttpReply&)>;
+
+    Port(std::uint64_t seed, LogLevel level) : rng_(seed), level_(level) {}
+
+    void set_time(Instant now, std::int64_t wall_ms) {
+        now_ = now;
+        wall_ms_ = wall_ms;
+    }
+    Instant now() const { return now_; }
+    std::int64_t wall_ms() const { return wall_ms_; }
+
+    std::uint64_t random() { return rng_(); }
+    Millis jitter(Millis most) {
+        return Millis(std::uniform_int_distribution<std::int64_t>(0, most.count())(rng_));
+    }
+
+    void call(Service service, std::string endpoint, std::string method, std::string target,
+              std::string body, Millis timeout, Continuation then) {
+        const CallId id(++last_call_);
+        pending_.emplace(id, std::move(then));
+        effects_.calls.push_back({id, service, std::move(endpoint), std::move(method),
+                                  std::move(target), std::move(body), timeout});
+    }
+    void complete(CallId id, const HttpReply& reply) {
+        const auto it = pending_.find(id);
+        if (it == pending_.end()) return;
+        const auto then = std::move(it->second);
+        pending_.erase(it);
+        then(reply);
+    }
+
+    void answer(RequestId id, int status, std::string body, int retry_after_s = 0) {
+        effects_.answers.push_back({id, status, std::move(body), retry_after_s});
+    }
+
+    template <class... Args>
+    void log(LogLevel level, fmt::format_string<Args...> format, Args&&... args) {
+        if (level > level_) return;
+        effects_.logs.push_back({level, fmt::format(format, std::forward<Args>(args)...)});
+    }
+
+    // Runs something once, not before the delay is over.
+    void after(Millis delay, std::function<void()> then) {
+        timers_.emplace(now_ + delay, std::move(then));
+    }
+    void run_timers() {
+        while (!timers_.empty() && timers_.begin()->first <= now_) {
+            const auto then = std::move(timers_.begin()->second);
+            timers_.erase(timers_.begin());
+            then();
+        }
+        if (!timers_.empty()) wake_at(timers_.begin()->first);
+    }
+
+    // The earliest moment at which the core wants to be run again.
+    void wake_at(Instant t) { wake_ = std::min(wake_, t); }
+    Instant wake() const { return wake_; }
+    void reset_wake() { wake_ = Instant::max(); }
+
+    Effects take() { return std::exchange(effects_, {}); }
+
+  private:
+    std::mt19937_64 rng_;
+    LogLevel level_;
+    Instant now_{};
+    std::int64_t wall_ms_ = 0;
+    Instant wake_ = Instant::max();
+    std::uint64_t last_call_ = 0;
+    std::unordered_map<CallId, Continuation> pending_;
+    std::multimap<Instant, std::function<void()>> timers_;
+    Effects effects_;
+};
+
+}  // namespace dunebridge::core
--- /dev/null
+++ b/src/fleet/fleet.cpp
@@ -0,0 +1,402 @@
+#include "fleet/fleet.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace dunebridge::fleet {
+
+using core::HttpReply;
+using core::JobState;
+using core::LogLevel;
+using core::Machine;
+using core::Service;
+
+namespace {
+constexpr Millis kTypesRetry{1000};
+constexpr Millis kTypesEvery{60000};
+constexpr Millis kCloudTimeout{5000};
+constexpr Millis kListEvery{4000};
+constexpr Millis kCloudRetry{1000};
+constexpr Millis kResizeEvery{1000};
+constexpr Millis kRefusedPause{15000};
+constexpr Millis kMostRefused{60000};
+constexpr std::size_t kMostHosts = 100;
+constexpr std::uint64_t kMostRented = 50;
+constexpr double kLoadMemory_s = 90;
+constexpr double kLearnRate = 0.1;
+// The other nodes' share of the cloud's budget is for the machine types.
+constexpr double kCallShare = 0.8;
+}  // namespace
+
+Fleet::Fleet(core::Port& port, cluster::Election& election, core::Ledger& ledger,
+             workers::Workers& workers, const core::Config& config)
+    : port_(port),
+      election_(election),
+      ledger_(ledger),
+      workers_(workers),
+      config_(config),
+      calls_(kCallShare * config.cloud_rps) {}
+
+void Fleet::reset() {
+    listing_ = deleting_ = false;
+    next_list_ = next_delete_ = next_resize_ = Instant{};
+    claims_in_flight_.clear();
+    claim_after_.clear();
+    claim_count_ = 0;
+    last_load_ = Instant{};
+}
+
+bool Fleet::current(std::uint64_t generation) const {
+    return election_.is_leader() && election_.generation() == generation && ledger_.loaded();
+}
+
+const wire::MachineType* Fleet::type(const std::string& name) const {
+    for (const auto& t : types_) {
+        if (t.name == name) return &t;
+    }
+    return nullptr;
+}
+
+bool Fleet::take_call() {
+    if (calls_.take(1, port_.now())) return true;
+    port_.wake_at(calls_.ready_at(1, port_.now()));
+    return false;
+}
+
+// ---- machine types ----
+
+void Fleet::tick_types() {
+    // Followers need them once; the leader follows the prices.
+    if (!types_.empty() && !election_.is_leader()) return;
+    if (!fetching_types_ && port_.now() >= next_types_) fetch_types();
+    port_.wake_at(next_types_);
+}
+
+void Fleet::fetch_types() {
+    fetching_types_ = true;
+    next_types_ = port_.now() + kCloudTimeout;
+    port_.call(Service::cloud, {}, "GET", "/machine_types", {}, kCloudTimeout,
+               [this](const HttpReply& reply) {
+                   fetching_types_ = false;
+                   next_types_ = port_.now() + kTypesRetry + port_.jitter(kTypesRetry);
+                   if (reply.status != 200) return;
+                   try {
+                       const auto doc = wire::Document::parse(reply.body);
+                       if (!doc) throw wire::DecodeError("not MessagePack");
+                       types_ = wire::decode_machine_types(doc->root());
+                       next_types_ = port_.now() + kTypesEvery;
+                   } catch (const wire::DecodeError& e) {
+                       port_.log(LogLevel::error, "event=bad_machine_types error=\"{}\"", e.what());
+                   }
+               });
+}
+
+// ---- the machine list ----
+
+void Fleet::list() {
+    listing_ = true;
+    list_asked_ = port_.now();
+    list_seen_.clear();
+    list_page({}, election_.generation());
+}
+
+void Fleet::list_page(std::string from, std::uint64_t generation) {
+    auto target = std::string("/rentals?page=500");
+    if (!from.empty()) target += "&from=" + from;
+    port_.call(Service::cloud, {}, "GET", target, {}, kCloudTimeout,
+               [this, generation](const HttpReply& reply) {
+                   if (!current(generation)) return;
+                   listing_ = false;
+                   next_list_ = port_.now() + kListEvery;
+                   if (reply.status != 200) return;
+                   try {
+                       const auto doc = wire::Document::parse(reply.body);
+                       if (!doc) throw wire::DecodeError("not MessagePack");
+                       const auto page = wire::decode_rentals(doc->root());
+                       for (const auto& row : page.hosts) apply_row(row);
+                       if (page.has_next && !page.hosts.empty()) {
+                           listing_ = true;
+                           list_page(page.hosts.back().host.get(), generation);
+                           return;
+                       }
+                       apply_missing(list_asked_);
+                   } catch (const wire::DecodeError& e) {
+                       port_.log(LogLevel::error, "event=bad_list error=\"{}\"", e.what());
+                   }
+               });
+}
+
+void Fleet::apply_row(const wire::Rental& row) {
+    list_seen_.insert(row.host);
+    if (workers_.was_deleted(row.host)) return;  // the list is late
+    auto* m = ledger_.find_machine(row.host);
+    if (!m) {
+        m = &ledger_.add_machine(row.host, row.endpoint, row.shape, row.region, row.reclaimable);
+        port_.log(LogLevel::info, "event=machine_unexpected host={} phase={}", row.host.get(),
+                  static_cast<int>(row.phase));
+    }
+    m->listed = true;
+    m->missing_lists = 0;
+    if (!m->reported) {
+        m->known_since = std::min(m->known_since, port_.now() - from_seconds(row.held_s));
+        m->starting = row.phase == wire::RentalPhase::starting;
+    }
+    if (row.phase == wire::RentalPhase::failed && !m->failed) {
+        // A failed machine has stopped: whatever was on it is gone.
+        m->failed = true;
+        while (!m->tasks.empty()) ledger_.remove(*m, m->tasks.begin()->first);
+        remove(*m, "failed");
+    }
+}
+
+void Fleet::apply_missing(Instant) {
+    for (auto& [host, m] : ledger_.machines()) {
+        if (m.listed && !list_seen_.contains(host)) ++m.missing_lists;
+    }
+}
+
+// ---- machines to be given up ----
+
+void Fleet::remove(Machine& m, const char* why) {
+    if (m.deleting) return;
+    m.deleting = true;
+    port_.log(LogLevel::info, "event=machine_return host={} shape={} tasks={} why={}",
+              m.host.get(), m.shape, m.tasks.size(), why);
+}
+
+// A deletion that is answered with 200 proves that the machine and its tasks are gone; so it is
+// also the way out where nothing else can prove it.
+void Fleet::check_machine(Machine& m) {
+    if (m.deleting) return;
+    const auto now = port_.now();
+    const auto* t = type(m.shape);
+    const auto startup = from_seconds(t ? t->startup_s : 60);
+    if (!m.reported) {
+        const auto age = now - m.known_since;
+        if (!m.tasks.empty() && age > config_.lease + Millis(3000)) {
+            remove(m, "unheard");
+        } else if (age > startup * 4 + Millis(30000)) {
+            remove(m, "stuck");
+        }
+        return;
+    }
+    const Millis short_silence = config_.report * 2;
+    if (m.taken_at && now > *m.taken_at && workers_.silent(m, short_silence)) {
+        remove(m, "taken");
+    } else if (m.missing_lists >= 2 && workers_.silent(m, short_silence)) {
+        remove(m, "unlisted");
+    } else if (workers_.silent(m, config_.lease + Millis(2000))) {
+        remove(m, "silent");
+    } else if (m.draining && m.tasks.empty() && ledger_.committed() == ledger_.version()) {
+        remove(m, "drained");
+    }
+    // Tasks of cancelled jobs must be gone in time, reachable or not.
+    for (const auto& [key, p] : m.tasks) {
+        if (p.job->state == JobState::ended && now - p.job->ended_at > config_.cancel * 2 / 5) {
+            remove(m, "cancelled_tasks");
+            break;
+        }
+    }
+}
+
+void Fleet::send_deletes() {
+    if (deleting_ || port_.now() < next_delete_) return;
+    std::vector<HostName> hosts;
+    for (const auto& [host, m] : ledger_.machines()) {
+        if (m.deleting && hosts.size() < kMostHosts) hosts.push_back(host);
+    }
+    if (hosts.empty() || !take_call()) return;
+    deleting_ = true;
+    port_.call(Service::cloud, {}, "POST", "/rentals/delete", wire::encode_hosts(hosts),
+               kCloudTimeout,
+               [this, hosts, generation = election_.generation()](const HttpReply& reply) {
+                   if (!current(generation)) return;
+                   deleting_ = false;
+                   if (reply.status != 200) {
+                       next_delete_ = port_.now() + kCloudRetry;
+                       return;
+                   }
+                   for (const auto& host : hosts) {
+                       workers_.deleted(host);
+                       if (auto* m = ledger_.find_machine(host)) ledger_.drop_machine(*m);
+                   }
+               });
+}
+
+// ---- rentals ----
+
+void Fleet::send_claims() {
+    for (const auto& [claim, request] : ledger_.claims()) {
+        // The claim is on record before it is sent: a later leader repeats it and learns which
+        // machines it brought.
+        if (claims_in_flight_.contains(claim) || !ledger_.claim_committed(claim)) continue;
+        const auto after = claim_after_.find(claim);
+        if (after != claim_after_.end() && port_.now() < after->second) {
+            port_.wake_at(after->second);
+            continue;
+        }
+        if (!take_call()) return;
+        claims_in_flight_.emplace(claim, port_.now());
+        port_.call(Service::cloud, {}, "POST", "/rentals", wire::encode(request), kCloudTimeout,
+                   [this, request, generation = election_.generation()](const HttpReply& reply) {
+                       if (current(generation)) claim_done(request, reply);
+                   });
+    }
+}
+
+void Fleet::claim_done(const wire::RentalRequest& request, const HttpReply& reply) {
+    claims_in_flight_.erase(request.claim);
+    const Market market{request.shape, request.region, request.reclaimable};
+    const auto doc = wire::Document::parse(reply.body);
+    std::size_t got = 0;
+    if (reply.status == 200 && doc) {
+        try {
+            for (const auto& host : wire::decode_hosts(doc->root())) {
+                ++got;
+                if (workers_.was_deleted(host)) continue;
+                ledger_.add_machine(host, {}, request.shape, request.region, request.reclaimable);
+            }
+        } catch (const wire::DecodeError& e) {
+            port_.log(LogLevel::error, "event=bad_rental error=\"{}\"", e.what());
+        }
+    }
+    const bool refused =
+        reply.status == 503 && doc && doc->root()["error"].text() == "no capacity";
+    const bool partly = reply.status == 200 && got < request.how_many;
+    if (reply.status != 200 && reply.status != 400 && !refused) {
+        claim_after_[request.claim] = port_.now() + kCloudRetry + port_.jitter(kCloudRetry);
+        return;
+    }
+    if (refused || partly) {
+        auto& r = refused_[market];
+        r.pause = std::clamp(r.pause * 2, kRefusedPause, kMostRefused);
+        r.until = port_.now() + r.pause;
+    } else {
+        refused_.erase(market);
+    }
+    port_.log(LogLevel::info, "event=rented claim={} shape={} region={} spot={} wanted={} got={}",
+              request.claim, request.shape, request.region, request.reclaimable, request.how_many,
+              got);
+    claim_after_.erase(request.claim);
+    ledger_.remove_claim(request.claim);
+}
+
+// ---- size ----
+
+double Fleet::expected_s(const core::Job& job) const {
+    const auto it = class_ratio_.find(job.spec.jobclass);
+    return job.spec.expected_s * (it == class_ratio_.end() ? 1.0 : it->second);
+}
+
+void Fleet::learn(const workers::Finished& f) {
+    if (f.job->spec.expected_s <= 0) return;
+    const double ratio = std::clamp(f.ran_s / f.job->spec.expected_s, 0.1, 10.0);
+    auto [it, added] = class_ratio_.try_emplace(f.job->spec.jobclass, ratio);
+    if (!added) it->second += kLearnRate * (ratio - it->second);
+}
+
+std::vector<Demand> Fleet::demand() const {
+    std::vector<Demand> out;
+    std::map<std::string, double> room;  // a team's cores under its limit
+    for (const auto& team : config_.teams) {
+        room[team.name] = team.cpus_max > 0 ? team.cpus_max - ledger_.use(team.name).cpus : 1e12;
+    }
+    for (const auto& [id, job] : ledger_.jobs()) {
+        if (job.state != JobState::open || job.waiting.empty()) continue;
+        Demand d;
+        d.cores = job.spec.cores;
+        d.accelerators = job.spec.accelerators;
+        d.ram_gb = job.spec.ram_gb;
+        d.spot_allowed = job.spec.reclaimable;
+        if (job.spec.shapes) d.shapes = *job.spec.shapes;
+        d.region = job.spec.region.value_or("");
+        d.seconds = expected_s(job);
+        d.tasks = static_cast<double>(job.waiting.size());
+        auto& left = room[job.spec.owner];
+        if (d.cores > 0) d.tasks = std::min(d.tasks, std::floor(left / d.cores));
+        if (d.tasks <= 0) continue;
+        left -= d.tasks * d.cores;
+        for (const auto& [host, m] : ledger_.machines()) {
+            const auto* t = type(m.shape);
+            if (m.deleting || m.draining || m.taken_at || !t) continue;
+            if (m.spot && !d.spot_allowed) continue;
+            if (!d.region.empty() && m.region != d.region) continue;
+            if (t->cores < d.cores || t->ram_gb < d.ram_gb || t->accelerators < d.accelerators) {
+                continue;
+            }
+            if (!d.shapes.empty() &&
+                std::find(d.shapes.begin(), d.shapes.end(), m.shape) == d.shapes.end()) {
+                continue;
+            }
+            d.fits_somewhere = true;
+            break;
+        }
+        out.push_back(std::move(d));
+    }
+    return out;
+}
+
+void Fleet::observe_load() {
+    double cores = 0;
+    for (const auto& [host, m] : ledger_.machines()) {
+        for (const auto& [key, p] : m.tasks) cores += p.job->spec.cores;
+    }
+    const auto now = port_.now();
+    const double dt = last_load_ == Instant{} ? 0 : to_seconds(now - last_load_);
+    last_load_ = now;
+    const double keep = std::exp(-dt / kLoadMemory_s);
+    load_cores_ = load_cores_ * keep + cores * (1 - keep);
+}
+
+void Fleet::resize() {
+    if (types_.empty()) return;
+    observe_load();
+    SizingInput in;
+    in.types = types_;
+    in.demand = demand();
+    in.load_cores = load_cores_;
+    in.headroom = config_.tuning.headroom;
+    in.idle_return_s = to_seconds(config_.tuning.idle_return);
+    std::vector<Machine*> machines;
+    for (auto& [host, m] : ledger_.machines()) {
+        const auto* t = type(m.shape);
+        const bool available = t && !m.deleting && !m.draining && !m.taken_at;
+        in.machines.push_back({{m.shape, m.region, m.spot},
+                               t ? t->cores : 0,
+                               m.reported && m.tasks.empty() ? to_seconds(port_.now() - m.idle_since)
+                                                             : 0.0,
+                               available});
+        machines.push_back(&m);
+        for (const auto& [key, p] : m.tasks) in.placed_cores += p.job->spec.cores;
+    }
+    for (const auto& [claim, r] : ledger_.claims()) {
+        in.pending[{r.shape, r.region, r.reclaimable}] += r.how_many;
+    }
+    for (const auto& [market, r] : refused_) {
+        if (port_.now() < r.until) in.blocked.insert(market);
+    }
+    const auto result = plan(in);
+    port_.log(LogLevel::debug, "event=sizing load={:.1f} placed={:.1f} target={:.1f} machines={}",
+              load_cores_, in.placed_cores, result.target_cores, machines.size());
+    for (const auto& rent : result.rent) {
+        const auto claim = fmt::format("{}-{}", election_.term().get(), ++claim_count_);
+        ledger_.add_claim({claim, rent.market.shape, rent.market.region, rent.market.spot,
+                           std::min<std::uint64_t>(rent.count, kMostRented)});
+    }
+    for (const auto i : result.give_back) remove(*machines[i], "idle");
+}
+
+void Fleet::tick() {
+    const auto now = port_.now();
+    if (!listing_ && now >= next_list_ && take_call()) list();
+    for (auto& [host, m] : ledger_.machines()) check_machine(m);
+    if (now >= next_resize_) {
+        next_resize_ = now + kResizeEvery;
+        resize();
+    }
+    send_deletes();
+    send_claims();
+    port_.wake_at(std::min(next_list_, next_resize_));
+}
+
+}  // namespace dunebridge::fleet
--- /dev/null
+++ b/src/fleet/sizing.cpp
@@ -0,0 +1,138 @@
+#include "fleet/sizing.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace dunebridge::fleet {
+
+namespace {
+
+bool holds(const wire::MachineType& t, const Demand& d) {
+    return t.cores >= d.cores && t.ram_gb >= d.ram_gb && t.accelerators >= d.accelerators &&
+           (d.shapes.empty() ||
+            std::find(d.shapes.begin(), d.shapes.end(), t.name) != d.shapes.end());
+}
+
+struct Counts {
+    double cores = 0;
+    std::map<std::string, std::size_t> by_region;
+    std::map<Market, std::size_t> by_market;
+};
+
+Counts count(const SizingInput& in) {
+    Counts c;
+    std::map<std::string, double> cores_of;
+    for (const auto& t : in.types) cores_of[t.name] = t.cores;
+    const auto add = [&](const Market& m, double cores, std::size_t n) {
+        c.cores += cores * static_cast<double>(n);
+        c.by_region[m.region] += n;
+        c.by_market[m] += n;
+    };
+    for (const auto& m : in.machines) {
+        if (m.available) add(m.market, m.cores, 1);
+    }
+    for (const auto& [market, n] : in.pending) add(market, cores_of[market.shape], n);
+    return c;
+}
+
+// The cheapest market for a core that can hold the demand; ties go to the zone with fewest
+// machines, so that one zone's loss or a wave of takebacks hurts less.
+const wire::MachineType* choose(const SizingInput& in, const Counts& counts, const Demand* demand,
+                                double wanted_cores, Market& market) {
+    const wire::MachineType* best = nullptr;
+    double best_cost = std::numeric_limits<double>::max();
+    for (const auto& t : in.types) {
+        if (t.cores <= 0 || (demand && !holds(t, *demand))) continue;
+        for (const auto& region : t.regions) {
+            if (demand && !demand->region.empty() && demand->region != region) continue;
+            for (const bool spot : {true, false}) {
+                if (spot && demand && !demand->spot_allowed) continue;
+                const Market m{t.name, region, spot};
+                if (in.blocked.contains(m)) continue;
+                // A machine much larger than what is wanted is mostly paid for nothing.
+                const double useful = std::min(t.cores, std::max(wanted_cores, 1.0));
+                const auto it = counts.by_region.find(region);
+                const double crowd = it == counts.by_region.end() ? 0 : double(it->second);
+                const double cost = (spot ? t.low_price : t.rate) / useful * (1 + 0.02 * crowd);
+                if (cost >= best_cost) continue;
+                best_cost = cost;
+                best = &t;
+                market = m;
+            }
+        }
+    }
+    return best;
+}
+
+void add_rent(SizingPlan& plan, Counts& counts, const Market& market, double cores) {
+    counts.cores += cores;
+    ++counts.by_region[market.region];
+    ++counts.by_market[market];
+    for (auto& r : plan.rent) {
+        if (r.market == market) {
+            ++r.count;
+            return;
+        }
+    }
+    plan.rent.push_back({market, 1});
+}
+
+}  // namespace
+
+SizingPlan plan(const SizingInput& in) {
+    SizingPlan out;
+    auto counts = count(in);
+    double backlog = 0;  // core seconds
+    double most_cores = 0;
+    for (const auto& d : in.demand) {
+        // Short tasks do not fill a machine for the whole horizon.
+        backlog += d.tasks * d.cores * std::max(d.seconds, 5.0);
+        most_cores += d.tasks * d.cores;
+    }
+    const double for_backlog = std::min(most_cores, backlog / in.horizon_s);
+    out.target_cores = std::max(in.load_cores * in.headroom, in.placed_cores + for_backlog);
+
+    constexpr int kMostAtOnce = 40;
+    int rented = 0;
+    for (const auto& d : in.demand) {
+        if (d.fits_somewhere || d.tasks <= 0) continue;
+        Market market;
+        const auto* t = choose(in, counts, &d, d.cores * d.tasks, market);
+        if (!t) continue;
+        add_rent(out, counts, market, t->cores);
+        ++rented;
+    }
+    // The widest like tasks decide what kind of machine is worth adding.
+    const Demand* typical = nullptr;
+    for (const auto& d : in.demand) {
+        if (!typical || d.tasks * d.cores * d.seconds >
+                            typical->tasks * typical->cores * typical->seconds) {
+            typical = &d;
+        }
+    }
+    while (counts.cores < out.target_cores && rented < kMostAtOnce) {
+        Market market;
+        const auto* t = choose(in, counts, typical, out.target_cores - counts.cores, market);
+        if (!t) break;
+        add_rent(out, counts, market, t->cores);
+        ++rented;
+    }
+    if (rented > 0) return out;
+
+    std::vector<std::size_t> idle;
+    for (std::size_t i = 0; i < in.machines.size(); ++i) {
+        if (in.machines[i].available && in.machines[i].idle_s > in.idle_return_s) idle.push_back(i);
+    }
+    std::sort(idle.begin(), idle.end(), [&](std::size_t a, std::size_t b) {
+        return in.machines[a].idle_s > in.machines[b].idle_s;
+    });
+    for (const auto i : idle) {
+        if (counts.cores - in.machines[i].cores < out.target_cores) continue;
+        counts.cores -= in.machines[i].cores;
+        out.give_back.push_back(i);
+    }
+    return out;
+}
+
+}  // namespace dunebridge::fleet
--- /dev/null
+++ b/src/fleet/sizing.hpp
@@ -0,0 +1,70 @@
+// How large the fleet should be: pure decisions from demand, load and prices.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <tuple>
+#include <vector>
+
+#include "wire/messages.hpp"
+
+namespace dunebridge::fleet {
+
+// A place where the cloud may have machines: type, zone, spot or ordinary.
+struct Market {
+    std::string shape;
+    std::string region;
+    bool spot = false;
+    auto operator<=>(const Market&) const = default;
+};
+
+// Like tasks that wait, decided as a class.
+struct Demand {
+    double cores = 0;
+    double accelerators = 0;
+    double ram_gb = 0;
+    bool spot_allowed = false;
+    std::vector<std::string> shapes;  // empty: any
+    std::string region;               // empty: any
+    double tasks = 0;
+    double seconds = 0;  // expected run time of one task
+    bool fits_somewhere = false;  // a machine of the fleet, empty or not, could hold one
+};
+
+struct Capacity {
+    Market market;
+    double cores = 0;
+    double idle_s = 0;  // 0 while it has tasks
+    bool available = false;  // up or starting, and not to be returned
+};
+
+struct SizingInput {
+    std::vector<wire::MachineType> types;
+    std::vector<Demand> demand;
+    std::vector<Capacity> machines;
+    std::map<Market, std::size_t> pending;  // being rented
+    std::set<Market> blocked;               // refused lately
+    double placed_cores = 0;
+    double load_cores = 0;   // lately observed average of cores in use and asked for
+    double headroom = 1.25;
+    double horizon_s = 60;   // within which the backlog should be worked off
+    double idle_return_s = 60;
+};
+
+struct Rent {
+    Market market;
+    std::size_t count = 0;
+};
+
+struct SizingPlan {
+    double target_cores = 0;
+    std::vector<Rent> rent;
+    std::vector<std::size_t> give_back;  // indices into machines
+};
+
+SizingPlan plan(const SizingInput& in);
+
+}  // namespace dunebridge::fleet
--- /dev/null
+++ b/src/net/http_client.cpp
@@ -0,0 +1,122 @@
+#include "net/http_client.hpp"
+
+#include <sys/socket.h>
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <chrono>
+
+#include "net/http_server.hpp"
+
+namespace dunebridge::net {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+using tcp = asio::ip::tcp;
+
+namespace {
+constexpr auto kIdleLimit = std::chrono::seconds(60);
+constexpr std::size_t kIdlePerAddress = 8;
+// Watches have no size limit by protocol; this one only keeps a broken peer from filling memory.
+constexpr std::uint64_t kResponseLimit = 16 * 1024 * 1024;
+}  // namespace
+
+struct HttpClient::Connection {
+    explicit Connection(asio::io_context& io) : socket(io), deadline(io) {}
+    tcp::socket socket;
+    asio::steady_timer deadline;
+    boost::beast::flat_buffer buffer;
+    std::chrono::steady_clock::time_point used{};
+    bool sent = false;
+
+    void close() {
+        error_code ec;
+        socket.close(ec);
+    }
+    // The peer may have closed a kept connection: a request written to it would be left without
+    // an answer although it was never executed.
+    bool usable() {
+        char byte = 0;
+        const auto n = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    }
+};
+
+HttpClient::ConnectionPtr HttpClient::take_idle(const std::string& address) {
+    const auto it = idle_.find(address);
+    if (it == idle_.end()) return nullptr;
+    auto& list = it->second;
+    while (!list.empty()) {
+        auto connection = std::move(list.back());
+        list.pop_back();
+        if (connection->socket.is_open() && connection->usable()) return connection;
+    }
+    return nullptr;
+}
+
+asio::awaitable<core::HttpReply> HttpClient::call(std::string address, std::string method,
+                                                  std::string target, std::string body,
+                                                  Millis timeout) {
+    auto connection = take_idle(address);
+    if (!connection) connection = std::make_shared<Connection>(io_);
+    connection->sent = false;
+    connection->deadline.expires_after(timeout);
+    connection->deadline.async_wait([weak = std::weak_ptr(connection)](error_code ec) {
+        const auto c = weak.lock();
+        // A timer that fired just as the call ended must not close the next call's connection.
+        if (!ec && c && c->deadline.expiry() <= std::chrono::steady_clock::now()) c->close();
+    });
+    core::HttpReply reply;
+    try {
+        reply = co_await exchange(connection, address, std::move(method), std::move(target),
+                                  std::move(body));
+    } catch (const std::exception&) {
+        connection->close();
+        reply = {connection->sent ? 0 : -1, {}};
+    }
+    connection->deadline.expires_at(std::chrono::steady_clock::time_point::max());
+    if (connection->socket.is_open()) {
+        connection->used = std::chrono::steady_clock::now();
+        auto& list = idle_[address];
+        if (list.size() < kIdlePerAddress) list.push_back(std::move(connection));
+    }
+    co_return reply;
+}
+
+asio::awaitable<core::HttpReply> HttpClient::exchange(ConnectionPtr connection, std::string address,
+                                                      std::string method, std::string target,
+                                                      std::string body) {
+    auto& socket = connection->socket;
+    if (!socket.is_open()) {
+        co_await socket.async_connect(parse_endpoint(address), asio::use_awaitable);
+        socket.set_option(tcp::no_delay(true));
+    }
+    http::request<http::string_body> request;
+    request.version(11);
+    request.method_string(method);
+    request.target(target);
+    request.set(http::field::host, address);
+    if (!body.empty()) request.set(http::field::content_type, "application/msgpack");
+    request.body() = std::move(body);
+    request.prepare_payload();
+    connection->sent = true;
+    co_await http::async_write(socket, request, asio::use_awaitable);
+
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(kResponseLimit);
+    co_await http::async_read(socket, connection->buffer, parser, asio::use_awaitable);
+    auto& response = parser.get();
+    if (!response.keep_alive()) connection->close();
+    co_return core::HttpReply{static_cast<int>(response.result_int()), std::move(response.body())};
+}
+
+void HttpClient::sweep() {
+    const auto limit = std::chrono::steady_clock::now() - kIdleLimit;
+    for (auto it = idle_.begin(); it != idle_.end();) {
+        std::erase_if(it->second, [&](const ConnectionPtr& c) { return c->used < limit; });
+        it = it->second.empty() ? idle_.erase(it) : std::next(it);
+    }
+}
+
+}  // namespace dunebridge::net
--- /dev/null
+++ b/src/state/store.cpp
@@ -0,0 +1,185 @@
+#include "state/store.hpp"
+
+#include <algorithm>
+
+namespace dunebridge::state {
+
+using core::HttpReply;
+using core::Service;
+using wire::Document;
+
+void Budget::refill(Instant now) {
+    if (now > last_) tokens_ = std::min(rate_, tokens_ + rate_ * to_seconds(now - last_));
+    last_ = now;
+}
+
+bool Budget::take(double n, Instant now) {
+    refill(now);
+    // A request larger than the whole burst is let through on a full bucket and paid off after.
+    if (tokens_ < std::min(n, rate_)) return false;
+    tokens_ -= n;
+    return true;
+}
+
+Instant Budget::ready_at(double n, Instant now) const {
+    const double missing = std::min(n, rate_) - tokens_;
+    if (missing <= 0) return now;
+    return std::max(now, last_) + from_seconds(missing / rate_) + Millis(1);
+}
+
+Store::Store(core::Port& port, const core::Config& config) : port_(port), config_(config) {}
+
+Millis Store::silent_for() const { return reachable_ ? Millis(0) : port_.now() - last_good_; }
+
+void Store::call(std::string method, std::string target, std::string body, Millis timeout,
+                 core::Port::Continuation then) {
+    port_.call(Service::state, {}, std::move(method), std::move(target), std::move(body), timeout,
+               [this, then = std::move(then)](const HttpReply& reply) {
+                   const bool good = reply.status > 0 && reply.status != 503;
+                   if (good || reachable_) last_good_ = port_.now();
+                   reachable_ = good;
+                   then(reply);
+               });
+}
+
+void Store::multi(const std::vector<wire::Guard>& guards, const std::vector<wire::Write>& writes,
+                  Millis timeout, std::function<void(const MultiResult&)> then) {
+    call("POST", "/multi", wire::encode_multi(guards, writes), timeout,
+         [then = std::move(then)](const HttpReply& reply) {
+             MultiResult result;
+             const auto doc = Document::parse(reply.body);
+             const auto body = doc ? doc->root() : wire::Value();
+             switch (reply.status) {
+                 case 200:
+                     result.outcome = Outcome::ok;
+                     break;
+                 case 409:
+                     result.outcome = Outcome::conflict;
+                     break;
+                 case 400:
+                     result.outcome = body["error"].text() == "no such lease" ? Outcome::no_lease
+                                                                              : Outcome::refused;
+                     break;
+                 case 0:
+                 case 500:
+                 case 504:
+                     result.outcome = Outcome::unknown;
+                     break;
+                 default:
+                     result.outcome = Outcome::refused;
+             }
+             result.rev = KeyRev(body["store_rev"].count().value_or(0));
+             const auto failed = body["failed"];
+             for (std::size_t i = 0; i < failed.size(); ++i) {
+                 if (const auto key = failed.at(i).text()) result.failed.emplace_back(*key);
+             }
+             then(result);
+         });
+}
+
+void Store::get(const std::string& key, Millis timeout,
+                std::function<void(const GetResult&)> then) {
+    call("GET", "/kv/" + key, {}, timeout, [then = std::move(then), key](const HttpReply& reply) {
+        GetResult result;
+        if (reply.status == 404) result.answered = true;
+        if (reply.status == 200) {
+            if (auto doc = Document::parse(reply.body)) {
+                const auto owner = std::make_shared<Document>(std::move(*doc));
+                const auto root = owner->root();
+                if (const auto rev = root["key_rev"].count()) {
+                    result.answered = true;
+                    result.row = Row{key, owner, root["value"], KeyRev(*rev)};
+                }
+            }
+        }
+        then(result);
+    });
+}
+
+void Store::list(const std::string& prefix, std::function<void(const ListResult&)> then) {
+    list_page(prefix, {}, std::make_shared<ListResult>(), std::move(then));
+}
+
+void Store::list_page(std::string prefix, std::string from, std::shared_ptr<ListResult> so_far,
+                      std::function<void(const ListResult&)> then) {
+    std::string target = "/kv?starts=" + prefix + "&page=500";
+    if (!from.empty()) target += "&from=" + from;
+    call("GET", target, {}, Millis(3000),
+         [this, prefix = std::move(prefix), so_far, first = from.empty(),
+          then = std::move(then)](const HttpReply& reply) {
+             auto doc = reply.status == 200 ? Document::parse(reply.body) : std::nullopt;
+             if (!doc || !doc->root()["rows"].is_list()) {
+                 then(ListResult{});
+                 return;
+             }
+             const auto owner = std::make_shared<Document>(std::move(*doc));
+             const auto root = owner->root();
+             if (first) so_far->rev = KeyRev(root["store_rev"].count().value_or(0));
+             const auto rows = root["rows"];
+             for (std::size_t i = 0; i < rows.size(); ++i) {
+                 const auto r = rows.at(i);
+                 so_far->rows.push_back({std::string(r["key"].text().value_or("")), owner,
+                                         r["value"], KeyRev(r["key_rev"].count().value_or(0))});
+             }
+             if (root["has_next"].boolean().value_or(false) && rows.size() > 0) {
+                 list_page(prefix, so_far->rows.back().key, so_far, then);
+                 return;
+             }
+             so_far->answered = true;
+             then(*so_far);
+         });
+}
+
+void Store::watch(const std::string& prefix, KeyRev from, Millis wait,
+                  std::function<void(const WatchResult&)> then) {
+    const auto target = "/watch?starts=" + prefix + "&from=" + std::to_string(from.get()) +
+                        "&wait_ms=" + std::to_string(wait.count());
+    // Open watches stay open during an outage, so a late answer says nothing about reachability.
+    port_.call(Service::state, {}, "GET", target, {}, wait + Millis(5000),
+               [then = std::move(then)](const HttpReply& reply) {
+                   WatchResult result;
+                   if (reply.status == 410) result.kind = WatchResult::Kind::too_old;
+                   if (reply.status == 200) {
+                       if (auto doc = Document::parse(reply.body)) {
+                           result.owner = std::make_shared<Document>(std::move(*doc));
+                           const auto root = result.owner->root();
+                           if (const auto rev = root["store_rev"].count()) {
+                               result.kind = WatchResult::Kind::changes;
+                               result.rev = KeyRev(*rev);
+                           }
+                           const auto news = root["news"];
+                           for (std::size_t i = 0; i < news.size(); ++i) {
+                               const auto n = news.at(i);
+                               const bool removed = n.contains("remove");
+                               const auto key = n[removed ? "remove" : "set"].text().value_or("");
+                               result.changes.push_back(
+                                   {std::string(key), removed, n["value"],
+                                    KeyRev(n["key_rev"].count().value_or(0))});
+                           }
+                       }
+                   }
+                   then(result);
+               });
+}
+
+void Store::create_lease(Millis ttl, std::function<void(std::optional<LeaseId>)> then) {
+    call("POST", "/leases",
+         wire::Writer().map(1).text("ttl_ms").count(static_cast<std::uint64_t>(ttl.count())).take(),
+         Millis(1500), [then = std::move(then)](const HttpReply& reply) {
+             std::optional<LeaseId> lease;
+             if (reply.status == 200) {
+                 const auto doc = Document::parse(reply.body);
+                 if (const auto id = doc ? doc->root()["tenancy"].count() : std::nullopt) {
+                     lease = LeaseId(*id);
+                 }
+             }
+             then(lease);
+         });
+}
+
+void Store::touch_lease(LeaseId lease, std::function<void(int)> then) {
+    call("POST", "/leases/" + std::to_string(lease.get()) + "/touch", {}, Millis(1000),
+         [then = std::move(then)](const HttpReply& reply) { then(reply.status); });
+}
+
+}  // namespace dunebridge::state
--- /dev/null
+++ b/src/state/store.hpp
@@ -0,0 +1,111 @@
+// Typed access to the state service through the port, with this node's share of its budgets.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/types.hpp"
+#include "core/config.hpp"
+#include "core/port.hpp"
+#include "wire/messages.hpp"
+
+namespace dunebridge::state {
+
+// Tokens that refill with time; the burst is one second's worth.
+class Budget {
+  public:
+    explicit Budget(double per_second) : rate_(per_second), tokens_(per_second) {}
+    bool take(double n, Instant now);
+    // When n tokens will be there.
+    Instant ready_at(double n, Instant now) const;
+
+  private:
+    void refill(Instant now);
+    double rate_;
+    double tokens_;
+    Instant last_{};
+};
+
+enum class Outcome : std::uint8_t {
+    ok,
+    conflict,  // a guard did not hold; nothing was written
+    refused,   // certainly not executed
+    no_lease,  // certainly not executed: the lease of a put has ended
+    unknown    // may have been executed, or may yet be
+};
+
+struct MultiResult {
+    Outcome outcome = Outcome::unknown;
+    KeyRev rev;
+    std::vector<std::string> failed;
+};
+
+struct Row {
+    std::string key;
+    std::shared_ptr<wire::Document> owner;  // keeps the value alive
+    wire::Value value;
+    KeyRev rev;
+};
+
+struct GetResult {
+    bool answered = false;
+    std::optional<Row> row;
+};
+
+struct ListResult {
+    bool answered = false;
+    std::vector<Row> rows;
+    KeyRev rev;  // of the first page: watching from here misses nothing
+};
+
+struct Change {
+    std::string key;
+    bool removed = false;
+    wire::Value value;
+    KeyRev rev;
+};
+struct WatchResult {
+    enum class Kind : std::uint8_t { changes, too_old, failed } kind = Kind::failed;
+    KeyRev rev;
+    std::vector<Change> changes;
+    std::shared_ptr<wire::Document> owner;
+};
+
+class Store {
+  public:
+    Store(core::Port& port, const core::Config& config);
+
+    void multi(const std::vector<wire::Guard>& guards, const std::vector<wire::Write>& writes,
+               Millis timeout, std::function<void(const MultiResult&)> then);
+    void get(const std::string& key, Millis timeout, std::function<void(const GetResult&)> then);
+    // Reads a whole prefix, page after page.
+    void list(const std::string& prefix, std::function<void(const ListResult&)> then);
+    void watch(const std::string& prefix, KeyRev from, Millis wait,
+               std::function<void(const WatchResult&)> then);
+    void create_lease(Millis ttl, std::function<void(std::optional<LeaseId>)> then);
+    // The status is the HTTP one, or 0 / -1 as in HttpReply.
+    void touch_lease(LeaseId lease, std::function<void(int status)> then);
+
+    // Whether the last answers were good ones.
+    bool reachable() const { return reachable_; }
+    // How long calls have gone without a good answer.
+    Millis silent_for() const;
+
+    std::size_t max_guards() const { return 4 * config_.state_txn_ops; }
+
+  private:
+    void call(std::string method, std::string target, std::string body, Millis timeout,
+              core::Port::Continuation then);
+    void list_page(std::string prefix, std::string from, std::shared_ptr<ListResult> so_far,
+                   std::function<void(const ListResult&)> then);
+
+    core::Port& port_;
+    const core::Config& config_;
+    bool reachable_ = true;
+    Instant last_good_{};
+};
+
+}  // namespace dunebridge::state
--- /dev/null
+++ b/src/wire/codec.cpp
@@ -0,0 +1,94 @@
+#include "wire/codec.hpp"
+
+#include <cmath>
+
+namespace dunebridge::wire {
+
+Value Value::operator[](std::string_view name) const {
+    if (!is_map()) return Value();
+    const auto& map = object_->via.map;
+    for (std::uint32_t i = 0; i < map.size; ++i) {
+        const auto& key = map.ptr[i].key;
+        if (key.type == msgpack::type::STR &&
+            std::string_view(key.via.str.ptr, key.via.str.size) == name) {
+            return Value(map.ptr[i].val);
+        }
+    }
+    return Value();
+}
+
+bool Value::contains(std::string_view name) const { return !(*this)[name].is_null(); }
+
+std::optional<std::string_view> Value::text() const {
+    if (!object_ || object_->type != msgpack::type::STR) return std::nullopt;
+    return std::string_view(object_->via.str.ptr, object_->via.str.size);
+}
+
+std::optional<double> Value::number() const {
+    if (!object_) return std::nullopt;
+    switch (object_->type) {
+        case msgpack::type::POSITIVE_INTEGER:
+            return static_cast<double>(object_->via.u64);
+        case msgpack::type::NEGATIVE_INTEGER:
+            return static_cast<double>(object_->via.i64);
+        case msgpack::type::FLOAT32:
+        case msgpack::type::FLOAT64:
+            if (!std::isfinite(object_->via.f64)) return std::nullopt;
+            return object_->via.f64;
+        default:
+            return std::nullopt;
+    }
+}
+
+std::optional<std::uint64_t> Value::count() const {
+    if (!object_) return std::nullopt;
+    if (object_->type == msgpack::type::POSITIVE_INTEGER) return object_->via.u64;
+    const auto n = number();
+    // Above 2^53 a float no longer says which integer was meant.
+    if (!n || *n < 0 || *n > 9007199254740992.0 || *n != std::floor(*n)) return std::nullopt;
+    return static_cast<std::uint64_t>(*n);
+}
+
+std::optional<bool> Value::boolean() const {
+    if (!object_ || object_->type != msgpack::type::BOOLEAN) return std::nullopt;
+    return object_->via.boolean;
+}
+
+namespace {
+template <class T>
+T need(std::optional<T> v, const char* what) {
+    if (!v) throw DecodeError(std::string("missing or invalid field: ") + what);
+    return *v;
+}
+}  // namespace
+
+std::string Value::need_text(const char* what) const { return std::string(need(text(), what)); }
+double Value::need_number(const char* what) const { return need(number(), what); }
+std::uint64_t Value::need_count(const char* what) const { return need(count(), what); }
+bool Value::need_bool(const char* what) const { return need(boolean(), what); }
+
+std::string Value::pack() const {
+    Buffer buffer;
+    if (object_) {
+        msgpack::pack(buffer, *object_);
+    } else {
+        msgpack::packer<Buffer>(buffer).pack_nil();
+    }
+    return std::string(buffer.data(), buffer.size());
+}
+
+std::optional<Document> Document::parse(std::string_view bytes) {
+    try {
+        Document doc;
+        std::size_t offset = 0;
+        // Depth is limited so that a hostile body cannot exhaust the stack.
+        doc.handle_ = msgpack::unpack(bytes.data(), bytes.size(), offset, nullptr, nullptr,
+                                      msgpack::unpack_limit(0x100000, 0x100000, 0x4000000, 0, 0, 64));
+        if (offset != bytes.size()) return std::nullopt;
+        return doc;
+    } catch (const std::exception&) {
+        return std::nullopt;
+    }
+}
+
+}  // namespace dunebridge::wire
--- /dev/null
+++ b/src/wire/codec.hpp
@@ -0,0 +1,113 @@
+// MessagePack reading and writing, tolerant of what the protocol lets a peer send.
+#pragma once
+
+#include <cstdint>
+#include <msgpack.hpp>
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+
+namespace dunebridge::wire {
+
+inline constexpr std::size_t kMaxBody = 64 * 1024;
+
+struct DecodeError : std::runtime_error {
+    using std::runtime_error::runtime_error;
+};
+
+// A view of one decoded value. An absent or null value is a view of nil.
+class Value {
+  public:
+    Value() = default;
+    explicit Value(const msgpack::object& o) : object_(&o) {}
+
+    bool is_null() const { return !object_ || object_->type == msgpack::type::NIL; }
+    bool is_map() const { return object_ && object_->type == msgpack::type::MAP; }
+    bool is_list() const { return object_ && object_->type == msgpack::type::ARRAY; }
+
+    // Field of a map; nil if this is not a map or has no such field.
+    Value operator[](std::string_view name) const;
+    std::size_t size() const { return is_list() ? object_->via.array.size : 0; }
+    Value at(std::size_t i) const { return Value(object_->via.array.ptr[i]); }
+    bool contains(std::string_view name) const;
+
+    // Empty if of another type. Whole numbers may come as integers or as floats.
+    std::optional<std::string_view> text() const;
+    std::optional<double> number() const;
+    std::optional<std::uint64_t> count() const;
+    std::optional<bool> boolean() const;
+
+    // As above, throwing DecodeError that names the field.
+    std::string need_text(const char* what) const;
+    double need_number(const char* what) const;
+    std::uint64_t need_count(const char* what) const;
+    bool need_bool(const char* what) const;
+
+    // Packs the value as it is.
+    std::string pack() const;
+
+  private:
+    const msgpack::object* object_ = nullptr;
+};
+
+// Owns a decoded body. Decoding failures leave a nil root.
+class Document {
+  public:
+    Document() = default;
+    static std::optional<Document> parse(std::string_view bytes);
+    Value root() const { return Value(handle_.get()); }
+
+  private:
+    msgpack::object_handle handle_;
+};
+
+using Buffer = msgpack::sbuffer;
+
+// Writer of maps and lists: the caller states sizes, as MessagePack wants them first.
+class Writer {
+  public:
+    Writer() : packer_(buffer_) {}
+    Writer& map(std::size_t n) {
+        packer_.pack_map(static_cast<std::uint32_t>(n));
+        return *this;
+    }
+    Writer& list(std::size_t n) {
+        packer_.pack_array(static_cast<std::uint32_t>(n));
+        return *this;
+    }
+    Writer& text(std::string_view s) {
+        packer_.pack_str(static_cast<std::uint32_t>(s.size()));
+        packer_.pack_str_body(s.data(), static_cast<std::uint32_t>(s.size()));
+        return *this;
+    }
+    Writer& count(std::uint64_t v) {
+        packer_.pack_uint64(v);
+        return *this;
+    }
+    Writer& number(double v) {
+        packer_.pack_double(v);
+        return *this;
+    }
+    Writer& boolean(bool v) {
+        v ? packer_.pack_true() : packer_.pack_false();
+        return *this;
+    }
+    Writer& null() {
+        packer_.pack_nil();
+        return *this;
+    }
+    // Appends a value packed earlier.
+    Writer& raw(std::string_view packed) {
+        buffer_.write(packed.data(), packed.size());
+        return *this;
+    }
+    std::size_t size() const { return buffer_.size(); }
+    std::string take() { return std::string(buffer_.data(), buffer_.size()); }
+
+  private:
+    Buffer buffer_;
+    msgpack::packer<Buffer> packer_;
+};
+
+}  // namespace dunebridge::wire
--- /dev/null
+++ b/src/wire/messages.hpp
@@ -0,0 +1,158 @@
+// The protocol's messages as typed structs.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/types.hpp"
+#include "wire/codec.hpp"
+
+namespace dunebridge::wire {
+
+enum class Urgency : std::uint8_t { idle, standard, urgent, prod };
+
+// A submission (POST /v1/jobs). Also kept, packed, in the state service.
+struct JobSpec {
+    JobId id;
+    std::string jobclass;
+    std::string owner;
+    Urgency urgency = Urgency::standard;
+    std::uint32_t shards = 1;
+    double cores = 0;
+    double accelerators = 0;
+    double ram_gb = 0;
+    std::optional<std::vector<std::string>> shapes;
+    std::optional<std::string> region;
+    bool together = false;
+    bool apart = false;
+    bool reclaimable = false;
+    std::string bundle;
+    double size_gb = 0;
+    double expected_s = 0;
+    double snapshot_every_s = 0;
+    double snapshot_s = 0;
+    std::optional<double> due_s;
+};
+
+// The id alone, if the body is a map with a valid one: a repeat is answered by its id.
+std::optional<JobId> peek_job_id(Value body);
+bool valid_job_id(std::string_view id);
+// Throws DecodeError. Only `array` jobs occur today: other kinds are refused here.
+JobSpec decode_job(Value body);
+void encode_job(Writer& w, const JobSpec& job);
+
+enum class JobPhase : std::uint8_t { pending, running, done, withdrawn };
+std::string_view name_of(JobPhase phase);
+
+struct JobStatus {
+    JobId id;
+    JobPhase phase = JobPhase::pending;
+    std::uint64_t done = 0;
+    std::uint64_t running = 0;
+};
+std::string encode(const JobStatus& status);
+
+enum class TaskPhase : std::uint8_t { fetching, running, saving, exited, other };
+enum class ExitReason : std::uint8_t { none, done, halted, error, full, busy, unknown, other };
+
+struct TaskReport {
+    TaskRef task;
+    Attempt attempt;
+    TaskPhase phase = TaskPhase::other;
+    ExitReason reason = ExitReason::none;
+    bool stored = false;
+};
+
+// A worker's report: the body of /checkin and the answer of /commands and /inspect.
+struct Report {
+    HostName host;
+    std::string endpoint;
+    std::string shape;
+    std::string region;
+    bool reclaimable = false;
+    ReportOrder order;
+    Epoch epoch;
+    std::optional<double> eviction_s;
+    std::vector<TaskReport> tasks;
+};
+Report decode_report(Value body);
+std::string encode(const Report& report);
+
+enum class Verb : std::uint8_t { start, halt, clear };
+struct Order {
+    Verb verb = Verb::start;
+    TaskRef task;
+    Attempt attempt;
+    double drain_s = 0;
+};
+std::string encode_checkin_reply(Epoch epoch, const std::vector<Order>& orders);
+std::string encode_commands(Epoch epoch, std::uint64_t tenure, const std::vector<Order>& orders);
+struct Commands {
+    Epoch epoch;
+    std::optional<std::uint64_t> tenure;
+    std::vector<Order> orders;
+};
+Commands decode_commands(Value body);
+
+std::string encode_redirect(const std::string& leader);
+std::string encode_error(std::string_view error);
+
+// Cloud.
+struct MachineType {
+    std::string name;
+    double cores = 0;
+    double accelerators = 0;
+    double ram_gb = 0;
+    double cache_gb = 0;
+    double fetch_gb_per_s = 0;
+    double rate = 0;
+    double low_price = 0;
+    double startup_s = 0;
+    std::vector<std::string> regions;
+};
+std::vector<MachineType> decode_machine_types(Value body);
+
+struct RentalRequest {
+    std::string claim;
+    std::string shape;
+    std::string region;
+    bool reclaimable = false;
+    std::uint64_t how_many = 0;
+};
+std::string encode(const RentalRequest& request);
+RentalRequest decode_rental(Value body);
+
+enum class RentalPhase : std::uint8_t { starting, running, failed };
+struct Rental {
+    HostName host;
+    std::string endpoint;
+    std::string shape;
+    std::string region;
+    bool reclaimable = false;
+    RentalPhase phase = RentalPhase::starting;
+    double held_s = 0;
+};
+struct RentalPage {
+    std::vector<Rental> hosts;
+    bool has_next = false;
+};
+RentalPage decode_rentals(Value body);
+std::vector<HostName> decode_hosts(Value body);
+std::string encode_hosts(const std::vector<HostName>& hosts);
+
+// State service.
+struct Guard {
+    std::string key;
+    KeyRev rev;  // 0: the key does not exist
+};
+struct Write {
+    std::string key;
+    std::optional<std::string> value;  // packed; none: remove
+    std::optional<LeaseId> lease;
+};
+std::string encode_multi(const std::vector<Guard>& guards, const std::vector<Write>& writes);
+
+}  // namespace dunebridge::wire
--- /dev/null
+++ b/src/workers/workers.hpp
@@ -0,0 +1,72 @@
+// Dealings with the workers: check-ins, direct commands, and the proof that a task is gone.
+//
+// Proofs that a recorded placement is not on its machine (any one of them):
+//  - a report newer than any before it, made after the worker has seen this machine's current
+//    epoch, that lacks the task or shows it exited (see reconcile());
+//  - `lease_s` plus drift after the last reply, once the worker has itself shown an epoch of this
+//    term, so that no earlier holder can have renewed its lease (see expire_leases());
+//  - the cloud says `failed`, or has answered a deletion with 200 (see fleet/).
+// Silence, a refused connection and a row missing from the machine list prove nothing.
+#pragma once
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "cluster/election.hpp"
+#include "core/config.hpp"
+#include "core/ledger.hpp"
+#include "core/port.hpp"
+#include "wire/messages.hpp"
+
+namespace dunebridge::workers {
+
+// What is learnt from finished tasks.
+struct Finished {
+    const core::Job* job = nullptr;
+    const core::Machine* machine = nullptr;
+    double ran_s = 0;
+};
+
+class Workers {
+  public:
+    Workers(core::Port& port, cluster::Election& election, core::Ledger& ledger,
+            const core::Config& config, std::function<void(const Finished&)> finished);
+
+    void checkin(RequestId id, const wire::Report& report);
+    void tick();
+    void reset();
+
+    Epoch epoch(const core::Machine& machine) const;
+    // A machine that can be given work now.
+    bool usable(const core::Machine& machine) const;
+    bool silent(const core::Machine& machine, Millis limit) const;
+    void halt(core::Machine& machine, core::Placement& placement, double drain_s);
+    // The cloud has taken the machine away at the service's wish: late reports must not revive it.
+    void deleted(const HostName& host);
+    bool was_deleted(const HostName& host) const { return deleted_.contains(host); }
+
+  private:
+    enum class Source : std::uint8_t { checkin, direct };
+
+    bool apply(core::Machine& machine, const wire::Report& report, Source source);
+    void apply_listed(core::Machine& machine, const wire::Report& report);
+    void reconcile(core::Machine& machine, const wire::Report& report, Source source);
+    void exited(core::Machine& machine, core::Placement& placement, const wire::TaskReport& task);
+    void failed(core::Machine& machine, core::Placement& placement);
+    bool must_halt(const core::Placement& placement) const;
+    std::vector<wire::Order> orders(core::Machine& machine, bool direct);
+    void send_direct(core::Machine& machine);
+    void direct_done(const HostName& host, const core::HttpReply& reply);
+    void expire_leases(core::Machine& machine);
+    void drop_unsent(core::Machine& machine);
+
+    core::Port& port_;
+    cluster::Election& election_;
+    core::Ledger& ledger_;
+    const core::Config& config_;
+    std::function<void(const Finished&)> finished_;
+    std::map<HostName, Instant> deleted_;
+};
+
+}  // namespace dunebridge::workers
