--- a/src/api/jobs.cpp
+++ b/src/api/jobs.cpp
@@ -236,7 +236,8 @@
 }
 
 void Jobs::look_up(Ask ask) {
-    store_.get(end_key(ask.id), kCallTimeout,
+    const auto key = end_key(ask.id);  // read before `ask` is moved from
+    store_.get(key, kCallTimeout,
                [this, ask = std::move(ask)](const state::GetResult& result) mutable {
                    if (!result.answered) {
                        unavailable(ask);
@@ -257,7 +258,8 @@
 }
 
 void Jobs::look_up_job(Ask ask) {
-    store_.get(job_key(ask.id), kCallTimeout,
+    const auto key = job_key(ask.id);  // read before `ask` is moved from
+    store_.get(key, kCallTimeout,
                [this, ask = std::move(ask)](const state::GetResult& result) mutable {
                    if (!result.answered) {
                        unavailable(ask);
@@ -329,8 +331,9 @@
                            .text("at")
                            .count(static_cast<std::uint64_t>(port_.wall_ms()))
                            .take();
-    store_.multi({{job_key(ask.id), rev}, {end_key(ask.id), KeyRev()}},
-                 {{end_key(ask.id), value, std::nullopt}}, kCallTimeout,
+    const std::vector<wire::Guard> guards{{job_key(ask.id), rev}, {end_key(ask.id), KeyRev()}};
+    const std::vector<wire::Write> writes{{end_key(ask.id), value, std::nullopt}};
+    store_.multi(guards, writes, kCallTimeout,
                  [this, ask = std::move(ask)](const state::MultiResult& result) mutable {
                      if (result.outcome == Outcome::ok) {
                          const JobStatus end{ask.id, JobPhase::withdrawn, 0, 0};
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -3,6 +3,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <chrono>
+#include <optional>
 
 #include "wire/codec.hpp"
 
@@ -20,8 +21,10 @@
 }  // namespace
 
 struct HttpServer::Session {
-    explicit Session(tcp::socket s) : socket(std::move(s)) {}
+    explicit Session(tcp::socket s) : socket(std::move(s)), answered(socket.get_executor()) {}
     tcp::socket socket;
+    asio::steady_timer answered;
+    std::optional<core::Answer> answer;
     std::chrono::steady_clock::time_point active = std::chrono::steady_clock::now();
 };
 
@@ -105,20 +108,15 @@
         in.target = std::string(request.target());
         in.body = std::move(request.body());
         in.too_large = too_large;
-        const auto id = in.id;
-        const auto waited = asio::use_awaitable;
-        core::Answer answer = co_await asio::async_initiate<const asio::use_awaitable_t<>&,
-                                                            void(core::Answer)>(
-            [this, id, in = std::move(in)](auto handler) mutable {
-                auto shared = std::make_shared<decltype(handler)>(std::move(handler));
-                waiting_.emplace(id, [shared, this](core::Answer&& a) {
-                    asio::post(io_, [shared, a = std::move(a)]() mutable {
-                        (*shared)(std::move(a));
-                    });
-                });
-                handler_(std::move(in));
-            },
-            waited);
+        session->answer.reset();
+        waiting_.emplace(in.id, session);
+        handler_(std::move(in));
+        // The answer is set and the wait cancelled by answer(); it never comes in this very turn.
+        while (!session->answer) {
+            session->answered.expires_at(std::chrono::steady_clock::time_point::max());
+            co_await session->answered.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+        }
+        core::Answer answer = std::move(*session->answer);
 
         http::response<http::string_body> response;
         response.version(11);
@@ -142,9 +140,10 @@
 void HttpServer::answer(core::Answer&& answer) {
     const auto it = waiting_.find(answer.id);
     if (it == waiting_.end()) return;
-    const auto deliver = std::move(it->second);
+    const auto session = std::move(it->second);
     waiting_.erase(it);
-    deliver(std::move(answer));
+    session->answer = std::move(answer);
+    session->answered.cancel();
 }
 
 }  // namespace dunebridge::net
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -46,7 +46,7 @@
     std::uint64_t next_id_;
     Handler handler_;
     std::unordered_map<Session*, std::weak_ptr<Session>> sessions_;
-    std::unordered_map<RequestId, std::function<void(core::Answer&&)>> waiting_;
+    std::unordered_map<RequestId, std::shared_ptr<Session>> waiting_;
 };
 
 // "10.0.0.1:8080" as an endpoint. Throws boost::system::system_error if it is none.
--- a/src/state/store.cpp
+++ b/src/state/store.cpp
@@ -33,11 +33,16 @@
 
 void Store::call(std::string method, std::string target, std::string body, Millis timeout,
                  core::Port::Continuation then) {
+    const std::string what = target;
     port_.call(Service::state, {}, std::move(method), std::move(target), std::move(body), timeout,
-               [this, then = std::move(then)](const HttpReply& reply) {
+               [this, what, then = std::move(then)](const HttpReply& reply) {
                    const bool good = reply.status > 0 && reply.status != 503;
                    if (good || reachable_) last_good_ = port_.now();
                    reachable_ = good;
+                   if (!good) {
+                       port_.log(core::LogLevel::debug, "event=state_failed status={} target={}",
+                                 reply.status, what);
+                   }
                    then(reply);
                });
 }
