--- /dev/null
+++ b/tests/sim/cloud_stand_in.cpp
@@ -0,0 +1,130 @@
+#include "sim/cloud_stand_in.hpp"
+
+#include <algorithm>
+
+namespace dunebridge::sim {
+
+using core::HttpReply;
+using wire::Writer;
+
+CloudStandIn::CloudStandIn(Clock& clock, std::vector<wire::MachineType> types,
+                           std::size_t most_machines, Millis list_lag, std::uint64_t seed,
+                           Events events)
+    : clock_(clock),
+      types_(std::move(types)),
+      most_machines_(most_machines),
+      list_lag_(list_lag),
+      rng_(seed),
+      events_(std::move(events)) {}
+
+HttpReply CloudStandIn::handle(const std::string& method, const std::string& target,
+                               const std::string& body) {
+    if (outage_) return {503, Writer().map(1).text("error").text("trouble").take()};
+    if (target == "/machine_types") {
+        Writer w;
+        w.map(1).text("shapes").list(types_.size());
+        for (const auto& t : types_) {
+            w.map(9).text("name").text(t.name).text("cores").number(t.cores);
+            w.text("accelerators").number(t.accelerators).text("ram_gb").number(t.ram_gb);
+            w.text("cache_gb").number(t.cache_gb).text("rate").number(t.rate);
+            w.text("low_price").number(t.low_price).text("startup_s").number(t.startup_s);
+            w.text("regions").list(t.regions.size());
+            for (const auto& r : t.regions) w.text(r);
+        }
+        return {200, w.take()};
+    }
+    if (method == "POST" && target == "/rentals") return rent(body);
+    if (method == "POST" && target == "/rentals/delete") return remove(body);
+    if (method == "GET" && target.starts_with("/rentals")) return list(target);
+    return {404, {}};
+}
+
+std::size_t CloudStandIn::alive() const {
+    return static_cast<std::size_t>(
+        std::count_if(machines_.begin(), machines_.end(), [](const auto& m) {
+            return m.second.gone == Instant::max() && m.second.failed == Instant::max();
+        }));
+}
+
+HttpReply CloudStandIn::rent(const std::string& body) {
+    const auto request = wire::decode_rental(wire::Document::parse(body)->root());
+    const auto known = claims_.find(request.claim);
+    if (known != claims_.end()) return {200, known->second};
+    std::vector<HostName> hosts;
+    const auto type = std::find_if(types_.begin(), types_.end(),
+                                   [&](const auto& t) { return t.name == request.shape; });
+    if (type == types_.end()) return {400, {}};
+    while (hosts.size() < request.how_many && alive() < most_machines_) {
+        Machine m;
+        m.row.host = HostName(fmt::format("vm-{:06}", machines_.size()));
+        m.row.endpoint = "worker:" + m.row.host.get();
+        m.row.shape = request.shape;
+        m.row.region = request.region;
+        m.row.reclaimable = request.reclaimable;
+        m.rented = clock_.now();
+        hosts.push_back(m.row.host);
+        machines_[m.row.host] = m;
+        const bool never_up = rng_() % 20 == 0;
+        if (never_up) continue;
+        const auto boot = from_seconds(type->startup_s) * (60 + rng_() % 90) / 100;
+        clock_.after(boot, [this, host = m.row.host] {
+            auto& machine = machines_[host];
+            if (machine.gone != Instant::max()) return;
+            machine.row.phase = wire::RentalPhase::running;
+            events_.up(machine.row);
+        });
+    }
+    if (hosts.empty()) return {503, Writer().map(1).text("error").text("no capacity").take()};
+    claims_[request.claim] = wire::encode_hosts(hosts);
+    return {200, claims_[request.claim]};
+}
+
+HttpReply CloudStandIn::remove(const std::string& body) {
+    for (const auto& host : wire::decode_hosts(wire::Document::parse(body)->root())) take(host);
+    return {200, {}};
+}
+
+void CloudStandIn::take(const HostName& host) {
+    const auto it = machines_.find(host);
+    if (it == machines_.end() || it->second.gone != Instant::max()) return;
+    it->second.gone = clock_.now();
+    events_.gone(host);
+}
+
+void CloudStandIn::fail(const HostName& host) {
+    const auto it = machines_.find(host);
+    if (it == machines_.end() || it->second.gone != Instant::max()) return;
+    it->second.failed = clock_.now();
+    events_.gone(host);
+}
+
+// As it was some time ago.
+HttpReply CloudStandIn::list(const std::string& target) {
+    const auto at = clock_.now() - list_lag_ * static_cast<std::int64_t>(rng_() % 200) / 100;
+    const auto cut = target.find("from=");
+    const auto from = cut == std::string::npos ? std::string() : target.substr(cut + 5);
+    std::vector<const Machine*> rows;
+    bool more = false;
+    for (const auto& [host, m] : machines_) {
+        if (host.get() <= from || m.rented > at || m.gone <= at) continue;
+        if (rows.size() == 7) {
+            more = true;
+            break;
+        }
+        rows.push_back(&m);
+    }
+    Writer w;
+    w.map(2).text("hosts").list(rows.size());
+    for (const auto* m : rows) {
+        w.map(7).text("name_id").text(m->row.host.get()).text("endpoint").text(m->row.endpoint);
+        w.text("shape").text(m->row.shape).text("region").text(m->row.region);
+        w.text("reclaimable").boolean(m->row.reclaimable);
+        const bool running = m->row.phase == wire::RentalPhase::running;
+        w.text("phase").text(m->failed <= at ? "failed" : running ? "running" : "starting");
+        w.text("held_s").number(to_seconds(at - m->rented));
+    }
+    w.text("has_next").boolean(more);
+    return {200, w.take()};
+}
+
+}  // namespace dunebridge::sim
--- /dev/null
+++ b/tests/sim/cloud_stand_in.hpp
@@ -0,0 +1,60 @@
+// A stand-in for the cloud, written from the protocol page.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "core/port.hpp"
+#include "sim/clock.hpp"
+#include "wire/messages.hpp"
+
+namespace dunebridge::sim {
+
+class CloudStandIn {
+  public:
+    struct Machine {
+        wire::Rental row;
+        Instant rented{};
+        Instant gone = Instant::max();
+        Instant failed = Instant::max();
+    };
+    struct Events {
+        std::function<void(const wire::Rental&)> up;
+        std::function<void(const HostName&)> gone;
+    };
+
+    CloudStandIn(Clock& clock, std::vector<wire::MachineType> types, std::size_t most_machines,
+                 Millis list_lag, std::uint64_t seed, Events events);
+
+    core::HttpReply handle(const std::string& method, const std::string& target,
+                           const std::string& body);
+    void set_outage(bool outage) { outage_ = outage; }
+    void set_capacity(std::size_t most) { most_machines_ = most; }
+    // The machine vanishes without the service's wish.
+    void take(const HostName& host);
+    // The machine stops on its own and stays listed as failed.
+    void fail(const HostName& host);
+    const std::vector<wire::MachineType>& types() const { return types_; }
+    std::size_t alive() const;
+
+  private:
+    core::HttpReply rent(const std::string& body);
+    core::HttpReply remove(const std::string& body);
+    core::HttpReply list(const std::string& target);
+
+    Clock& clock_;
+    std::vector<wire::MachineType> types_;
+    std::size_t most_machines_;
+    Millis list_lag_;
+    std::mt19937_64 rng_;
+    Events events_;
+    bool outage_ = false;
+    std::map<HostName, Machine> machines_;
+    std::map<std::string, std::string> claims_;
+};
+
+}  // namespace dunebridge::sim
--- /dev/null
+++ b/tests/sim/state_stand_in.cpp
@@ -0,0 +1,220 @@
+#include "sim/state_stand_in.hpp"
+
+#include <algorithm>
+#include <memory>
+
+namespace dunebridge::sim {
+
+using core::HttpReply;
+using wire::Document;
+using wire::Writer;
+
+namespace {
+
+std::string parameter(const std::string& query, const std::string& name) {
+    const auto start = query.find(name + "=");
+    if (start == std::string::npos) return {};
+    const auto from = start + name.size() + 1;
+    return query.substr(from, query.find('&', from) - from);
+}
+
+std::uint64_t number(const std::string& s) { return s.empty() ? 0 : std::stoull(s); }
+
+}  // namespace
+
+std::string StateStandIn::value(const std::string& key) const {
+    const auto it = keys_.find(key);
+    return it == keys_.end() ? std::string() : it->second.value;
+}
+
+void StateStandIn::set_outage(bool outage) {
+    outage_ = outage;
+    if (outage) return;
+    // After an outage every lease has its full time again.
+    for (auto& [id, lease] : leases_) lease.until = clock_.now() + lease.ttl;
+    notify();
+}
+
+void StateStandIn::handle(const std::string& method, const std::string& target,
+                          const std::string& body, Reply reply) {
+    if (outage_) {
+        reply({503, {}});
+        return;
+    }
+    expire();
+    const auto question = target.find('?');
+    const auto path = target.substr(0, question);
+    const auto query = question == std::string::npos ? std::string() : target.substr(question + 1);
+    if (method == "GET" && path == "/kv") {
+        list(query, reply);
+    } else if (method == "GET" && path.starts_with("/kv/")) {
+        get(path.substr(4), reply);
+    } else if (path == "/multi") {
+        multi(body, reply);
+    } else if (path == "/watch") {
+        watch(query, reply);
+    } else if (path == "/leases") {
+        const auto doc = Document::parse(body);
+        const Millis ttl(static_cast<std::int64_t>(doc->root()["ttl_ms"].need_count("ttl_ms")));
+        leases_[++next_lease_] = {ttl, clock_.now() + ttl};
+        clock_.after(ttl + Millis(1), [this] { expire(); });
+        reply({200, Writer().map(1).text("tenancy").count(next_lease_).take()});
+    } else if (path.starts_with("/leases/") && path.ends_with("/touch")) {
+        const auto it = leases_.find(number(path.substr(8, path.size() - 14)));
+        if (it == leases_.end()) {
+            reply({404, {}});
+            return;
+        }
+        it->second.until = clock_.now() + it->second.ttl;
+        clock_.after(it->second.ttl + Millis(1), [this] { expire(); });
+        reply({200, {}});
+    } else {
+        reply({400, {}});
+    }
+}
+
+void StateStandIn::expire() {
+    if (outage_) return;
+    bool changed = false;
+    for (auto it = leases_.begin(); it != leases_.end();) {
+        if (it->second.until > clock_.now()) {
+            ++it;
+            continue;
+        }
+        std::vector<std::string> gone;
+        for (const auto& [key, e] : keys_) {
+            if (e.lease == it->first) gone.push_back(key);
+        }
+        for (const auto& key : gone) {
+            ++rev_;
+            remove(key);
+            changed = true;
+        }
+        it = leases_.erase(it);
+    }
+    if (changed) notify();
+}
+
+void StateStandIn::remove(const std::string& key) {
+    keys_.erase(key);
+    changes_.push_back({rev_, key, true, {}});
+}
+
+void StateStandIn::get(const std::string& key, const Reply& reply) {
+    const auto it = keys_.find(key);
+    if (it == keys_.end()) {
+        reply({404, Writer().map(1).text("store_rev").count(rev_).take()});
+        return;
+    }
+    Writer w;
+    w.map(3).text("key").text(key).text("value").raw(it->second.value);
+    w.text("key_rev").count(it->second.rev);
+    reply({200, w.take()});
+}
+
+void StateStandIn::list(const std::string& query, const Reply& reply) {
+    const auto prefix = parameter(query, "starts");
+    const auto from = parameter(query, "from");
+    const auto page = std::min<std::uint64_t>(number(parameter(query, "page")), 20);
+    std::vector<const std::pair<const std::string, Entry>*> rows;
+    bool more = false;
+    for (const auto& row : keys_) {
+        if (!row.first.starts_with(prefix) || row.first <= from) continue;
+        if (rows.size() == page) {
+            more = true;
+            break;
+        }
+        rows.push_back(&row);
+    }
+    Writer w;
+    w.map(3).text("rows").list(rows.size());
+    for (const auto* row : rows) {
+        w.map(3).text("key").text(row->first).text("value").raw(row->second.value);
+        w.text("key_rev").count(row->second.rev);
+    }
+    w.text("has_next").boolean(more).text("store_rev").count(rev_);
+    reply({200, w.take()});
+}
+
+void StateStandIn::multi(const std::string& body, const Reply& reply) {
+    const auto doc = Document::parse(body);
+    const auto guards = doc->root()["guards"];
+    const auto writes = doc->root()["writes"];
+    std::vector<std::string> failed;
+    for (std::size_t i = 0; i < guards.size(); ++i) {
+        const auto key = guards.at(i)["key"].need_text("key");
+        const auto it = keys_.find(key);
+        const auto rev = it == keys_.end() ? 0 : it->second.rev;
+        if (rev != guards.at(i)["key_rev"].need_count("key_rev")) failed.push_back(key);
+    }
+    for (std::size_t i = 0; i < writes.size(); ++i) {
+        const auto lease = writes.at(i)["tenancy"].count();
+        if (lease && !leases_.contains(*lease)) {
+            reply({400, wire::Writer().map(1).text("error").text("no such lease").take()});
+            return;
+        }
+    }
+    if (!failed.empty()) {
+        Writer w;
+        w.map(2).text("failed").list(failed.size());
+        for (const auto& f : failed) w.text(f);
+        w.text("store_rev").count(rev_);
+        reply({409, w.take()});
+        return;
+    }
+    most_writes_ = std::max(most_writes_, writes.size());
+    if (writes.size() > 0) ++rev_;
+    for (std::size_t i = 0; i < writes.size(); ++i) {
+        const auto v = writes.at(i);
+        if (v.contains("remove")) {
+            const auto key = v["remove"].need_text("remove");
+            if (keys_.contains(key)) remove(key);
+            continue;
+        }
+        const auto key = v["set"].need_text("set");
+        keys_[key] = {v["value"].pack(), rev_, v["tenancy"].count().value_or(0)};
+        changes_.push_back({rev_, key, false, keys_[key].value});
+    }
+    reply({200, Writer().map(1).text("store_rev").count(rev_).take()});
+    if (writes.size() > 0) notify();
+}
+
+void StateStandIn::watch(const std::string& query, const Reply& reply) {
+    auto w = std::make_shared<Watch>(
+        Watch{parameter(query, "starts"), number(parameter(query, "from")), reply, false});
+    if (answer(*w, false)) return;
+    watches_.push_back(w);
+    clock_.after(Millis(static_cast<std::int64_t>(number(parameter(query, "wait_ms")))),
+                 [this, w] {
+                     if (!outage_ && !w->done) answer(*w, true);
+                 });
+}
+
+bool StateStandIn::answer(Watch& watch, bool force) {
+    if (watch.done) return true;
+    std::vector<const Change*> news;
+    for (const auto& c : changes_) {
+        if (c.rev > watch.from && c.key.starts_with(watch.prefix)) news.push_back(&c);
+    }
+    if (news.empty() && !force) return false;
+    watch.done = true;
+    Writer w;
+    w.map(2).text("store_rev").count(rev_).text("news").list(news.size());
+    for (const auto* c : news) {
+        if (c->removed) {
+            w.map(2).text("remove").text(c->key).text("key_rev").count(c->rev);
+        } else {
+            w.map(3).text("set").text(c->key).text("value").raw(c->value);
+            w.text("key_rev").count(c->rev);
+        }
+    }
+    watch.reply({200, w.take()});
+    return true;
+}
+
+void StateStandIn::notify() {
+    if (outage_) return;
+    std::erase_if(watches_, [this](const auto& w) { return answer(*w, false); });
+}
+
+}  // namespace dunebridge::sim
--- /dev/null
+++ b/tests/sim/worker_stand_in.cpp
@@ -0,0 +1,210 @@
+#include "sim/worker_stand_in.hpp"
+
+#include <algorithm>
+
+namespace dunebridge::sim {
+
+using wire::ExitReason;
+using wire::TaskPhase;
+
+namespace {
+constexpr Millis kStep{100};
+}
+
+WorkerStandIn::WorkerStandIn(Clock& clock, WorkerHost& world, const core::Config& config,
+                             const wire::MachineType& type, HostName host, std::string region,
+                             bool spot, std::uint64_t seed)
+    : clock_(clock),
+      world_(world),
+      config_(config),
+      type_(type),
+      host_(std::move(host)),
+      region_(std::move(region)),
+      spot_(spot),
+      rng_(seed) {}
+
+void WorkerStandIn::start() {
+    lease_from_ = report_at_ = clock_.now();
+    node_ = rng_() % world_.node_count();
+    tick();
+}
+
+void WorkerStandIn::hang(Millis for_) { hang_until_ = clock_.now() + for_; }
+
+void WorkerStandIn::tick() {
+    if (gone_) return;
+    if (!hanging()) {
+        check_lease();
+        advance();
+        if (!in_flight_ && clock_.now() >= report_at_) report();
+    }
+    clock_.after(kStep, [this] { tick(); });
+}
+
+void WorkerStandIn::check_lease() {
+    if (clock_.now() - lease_from_ <= config_.lease) return;
+    tasks_.clear();
+    ++tenure_;
+    lease_from_ = clock_.now();
+    changed();
+}
+
+std::set<TaskRef> WorkerStandIn::present() {
+    std::set<TaskRef> out;
+    if (gone_) return out;
+    // A hanging machine's lease ends all the same.
+    if (clock_.now() - lease_from_ > config_.lease) return out;
+    for (const auto& [task, t] : tasks_) {
+        if (t.phase != TaskPhase::exited) out.insert(task);
+    }
+    return out;
+}
+
+void WorkerStandIn::advance() {
+    for (auto& [task, t] : tasks_) {
+        if (t.phase == TaskPhase::exited || clock_.now() < t.next) continue;
+        if (t.phase == TaskPhase::fetching) {
+            t.phase = TaskPhase::running;
+            t.next = clock_.now() + world_.run_time(task);
+        } else {
+            const bool fails = faulty_ && t.phase == TaskPhase::running;
+            t.reason = fails ? ExitReason::error
+                             : (t.phase == TaskPhase::saving ? ExitReason::halted : ExitReason::done);
+            t.phase = TaskPhase::exited;
+            if (t.reason == ExitReason::done) world_.task_completed(task);
+        }
+        changed();
+    }
+}
+
+void WorkerStandIn::report() {
+    in_flight_ = true;
+    last_sent_ = clock_.now();
+    sent_tenure_ = tenure_;
+    ++serial_;
+    const auto jitter = static_cast<std::int64_t>(rng_() % 50) - 25;
+    report_at_ = clock_.now() + config_.report + config_.report * jitter / 100;
+    clock_.after(Millis(4000), [this, serial = serial_] { checkin_answered(serial, nullptr); });
+    world_.send_checkin(host_, node_, report_body());
+}
+
+std::string WorkerStandIn::report_body() {
+    wire::Report r;
+    r.host = host_;
+    r.endpoint = endpoint();
+    r.shape = type_.name;
+    r.region = region_;
+    r.reclaimable = spot_;
+    r.order = {tenure_, ++tick_};
+    r.epoch = epoch_;
+    if (taken_at_) r.eviction_s = std::max(0.0, to_seconds(*taken_at_ - clock_.now()));
+    for (const auto& [task, t] : tasks_) {
+        r.tasks.push_back({task, t.attempt, t.phase, t.reason, false});
+    }
+    return wire::encode(r);
+}
+
+void WorkerStandIn::try_node(std::size_t node, Millis pause) {
+    node_ = node;
+    report_at_ = clock_.now() + pause;
+}
+
+void WorkerStandIn::checkin_answered(std::uint64_t serial, const core::HttpReply* reply) {
+    if (gone_ || !in_flight_ || serial != serial_ || hanging()) return;
+    in_flight_ = false;
+    const auto next = (node_ + 1) % world_.node_count();
+    if (!reply) {
+        try_node(next, Millis(1000));
+        return;
+    }
+    const auto doc = wire::Document::parse(reply->body);
+    if (reply->status == 421) {
+        const auto name = doc ? doc->root()["leader"].text() : std::nullopt;
+        const auto to = name ? world_.node_named(std::string(*name)) : world_.node_count();
+        if (to < world_.node_count() && to != node_) {
+            try_node(to, Millis(static_cast<std::int64_t>(rng_() % 500)));
+        } else {
+            try_node(next, Millis(1000));
+        }
+        return;
+    }
+    if (reply->status != 200) {
+        try_node(next, Millis(1000));
+        return;
+    }
+    check_lease();
+    const auto answer = wire::decode_commands(doc->root());
+    if (sent_tenure_ != tenure_ || answer.epoch < epoch_) return;
+    lease_from_ = last_sent_;
+    if (answer.epoch > epoch_) {
+        epoch_ = answer.epoch;
+        changed();
+    }
+    for (const auto& order : answer.orders) execute(order);
+}
+
+core::HttpReply WorkerStandIn::commands(const std::string& body) {
+    check_lease();
+    const auto c = wire::decode_commands(wire::Document::parse(body)->root());
+    if (c.epoch < epoch_ || c.tenure != tenure_) return {409, report_body()};
+    if (c.epoch > epoch_) {
+        epoch_ = c.epoch;
+        changed();
+    }
+    for (const auto& order : c.orders) execute(order);
+    return {200, report_body()};
+}
+
+void WorkerStandIn::start_task(const wire::Order& o) {
+    const auto it = tasks_.find(o.task);
+    if (it != tasks_.end() && it->second.attempt == o.attempt) return;
+    WorkerTask t;
+    t.attempt = o.attempt;
+    const auto* job = world_.description(o.task.job);
+    double cores = 0;
+    for (const auto& [task, other] : tasks_) {
+        if (other.phase != TaskPhase::exited) cores += world_.description(task.job)->cores;
+    }
+    if (!job) {
+        t.reason = ExitReason::unknown;
+    } else if (it != tasks_.end() && it->second.phase != TaskPhase::exited) {
+        return;  // busy: the attempt that is here stays
+    } else if (cores + job->cores > type_.cores + 1e-6) {
+        t.reason = ExitReason::full;
+    }
+    if (t.reason != ExitReason::none) {
+        t.phase = TaskPhase::exited;
+    } else {
+        t.next = clock_.now() + Millis(1000 + static_cast<std::int64_t>(rng_() % 3000));
+        world_.task_started(host_, o.task);
+    }
+    tasks_[o.task] = t;
+}
+
+void WorkerStandIn::execute(const wire::Order& o) {
+    if (o.verb == wire::Verb::start) {
+        start_task(o);
+        changed();
+        return;
+    }
+    const auto it = tasks_.find(o.task);
+    if (it == tasks_.end() || it->second.attempt != o.attempt) return;
+    auto& t = it->second;
+    if (o.verb == wire::Verb::clear) {
+        if (t.phase == TaskPhase::exited) tasks_.erase(it);
+        return;
+    }
+    if (t.phase == TaskPhase::exited) return;
+    const auto* job = world_.description(o.task.job);
+    const bool saves = job->snapshot_every_s > 0 && o.drain_s >= job->snapshot_s;
+    if (saves && t.phase == TaskPhase::running) {
+        t.phase = TaskPhase::saving;
+        t.next = clock_.now() + from_seconds(job->snapshot_s);
+    } else if (t.phase != TaskPhase::saving || o.drain_s == 0) {
+        t.phase = TaskPhase::exited;
+        t.reason = ExitReason::halted;
+    }
+    changed();
+}
+
+}  // namespace dunebridge::sim
--- /dev/null
+++ b/tests/sim/worker_stand_in.hpp
@@ -0,0 +1,105 @@
+// A stand-in for one machine's worker, written from the protocol page.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+
+#include "core/config.hpp"
+#include "core/port.hpp"
+#include "sim/clock.hpp"
+#include "wire/messages.hpp"
+
+namespace dunebridge::sim {
+
+struct WorkerTask {
+    Attempt attempt;
+    wire::TaskPhase phase = wire::TaskPhase::fetching;
+    wire::ExitReason reason = wire::ExitReason::none;
+    Instant next{};  // when the present phase ends
+};
+
+// What the worker asks of the world around it.
+class WorkerHost {
+  public:
+    virtual ~WorkerHost() = default;
+    // The job's description, or null if it was never submitted.
+    virtual const wire::JobSpec* description(const JobId& id) = 0;
+    virtual Millis run_time(const TaskRef& task) = 0;
+    virtual void task_started(const HostName& host, const TaskRef& task) = 0;
+    virtual void task_completed(const TaskRef& task) = 0;
+    // Sends a report to a node; the answer comes back through checkin_answered().
+    virtual void send_checkin(const HostName& host, std::size_t node, const std::string& body) = 0;
+    virtual std::size_t node_count() const = 0;
+    virtual std::size_t node_named(const std::string& name) const = 0;  // or node_count()
+};
+
+class WorkerStandIn {
+  public:
+    WorkerStandIn(Clock& clock, WorkerHost& world, const core::Config& config,
+                  const wire::MachineType& type, HostName host, std::string region, bool spot,
+                  std::uint64_t seed);
+
+    void start();
+    void stop() { gone_ = true; }
+    void hang(Millis for_);
+    void set_notice(Instant at) { taken_at_ = at; }
+    void set_faulty(bool faulty) { faulty_ = faulty; }
+
+    // Null: no answer, or not in time.
+    void checkin_answered(std::uint64_t serial, const core::HttpReply* reply);
+    core::HttpReply commands(const std::string& body);
+    bool hanging() const { return clock_.now() < hang_until_; }
+    Instant hang_until() const { return hang_until_; }
+    bool gone() const { return gone_; }
+    std::uint64_t serial() const { return serial_; }
+
+    const HostName& host() const { return host_; }
+    const std::string& region() const { return region_; }
+    const std::string& shape() const { return type_.name; }
+    bool spot() const { return spot_; }
+    std::string endpoint() const { return "worker:" + host_.get(); }
+    // Tasks that are on the machine: neither exited nor killed. Ends leases that are over.
+    std::set<TaskRef> present();
+
+  private:
+    void tick();
+    void advance();
+    void check_lease();
+    void report();
+    void changed() { report_at_ = std::min(report_at_, std::max(clock_.now(), last_sent_ + Millis(500))); }
+    std::string report_body();
+    void execute(const wire::Order& order);
+    void start_task(const wire::Order& order);
+    void try_node(std::size_t node, Millis pause);
+
+    Clock& clock_;
+    WorkerHost& world_;
+    const core::Config& config_;
+    wire::MachineType type_;
+    HostName host_;
+    std::string region_;
+    bool spot_;
+    std::mt19937_64 rng_;
+    bool gone_ = false;
+    bool faulty_ = false;
+    Instant hang_until_{};
+    std::optional<Instant> taken_at_;
+
+    std::uint64_t tenure_ = 1;
+    std::uint64_t tick_ = 0;
+    Epoch epoch_;
+    Instant lease_from_{};
+    std::map<TaskRef, WorkerTask> tasks_;
+
+    std::size_t node_ = 0;
+    bool in_flight_ = false;
+    std::uint64_t serial_ = 0;
+    std::uint64_t sent_tenure_ = 0;
+    Instant last_sent_{};
+    Instant report_at_{};
+};
+
+}  // namespace dunebridge::sim
--- /dev/null
+++ b/tests/sim/world.cpp
@@ -0,0 +1,558 @@
+#include "sim/world.hpp"
+
+#include <algorithm>
+#include <cstdlib>
+#include <iostream>
+
+namespace dunebridge::sim {
+
+using core::Answer;
+using core::HttpCall;
+using core::HttpReply;
+using core::Plane;
+using core::Service;
+using wire::JobPhase;
+
+namespace {
+
+constexpr std::int64_t kWallStart = 1700000000000;
+
+core::Config make_config() {
+    core::Config c;
+    c.name = NodeName("node-0");
+    c.zones = {"a", "b"};
+    c.teams = {{"red", 8, 0, 24, 0}, {"blue", 8, 0, 20, 0}, {"free", 0, 0, 0, 0}};
+    c.report = Millis(3000);
+    c.lease = Millis(15000);
+    c.cancel = Millis(40000);
+    c.list_lag = Millis(4000);
+    c.cloud_rps = 5;
+    return c;
+}
+
+std::vector<wire::MachineType> make_types() {
+    return {{"small", 4, 0, 16, 50, 1, 0.2, 0.08, 12, {"a", "b"}},
+            {"big", 16, 0, 64, 50, 1, 0.9, 0.3, 10, {"a", "b"}}};
+}
+
+}  // namespace
+
+World::World(const Options& options)
+    : options_(options),
+      rng_(options.seed),
+      config_(make_config()),
+      state_(clock_),
+      cloud_(clock_, make_types(), options.machines, Millis(4000), options.seed * 7 + 1,
+             {[this](const wire::Rental& row) {
+                  const auto types = make_types();
+                  const auto type = std::find_if(types.begin(), types.end(), [&](const auto& t) {
+                      return t.name == row.shape;
+                  });
+                  auto worker = std::make_unique<WorkerStandIn>(clock_, *this, config_, *type,
+                                                                row.host, row.region,
+                                                                row.reclaimable, rng_());
+                  worker->start();
+                  workers_[row.host] = std::move(worker);
+              },
+              [this](const HostName& host) {
+                  const auto it = workers_.find(host);
+                  if (it != workers_.end()) it->second->stop();
+              }}) {
+    nodes_.resize(3);
+    troubles_end_ = clock_.now() + from_seconds(options.troubles_s);
+    for (std::size_t i = 0; i < nodes_.size(); ++i) boot(i);
+    make_users(options.jobs);
+    if (options.fault_every_s > 0) plan_fault();
+}
+
+World::~World() = default;
+
+// ---- nodes ----
+
+void World::boot(std::size_t i) {
+    auto config = config_;
+    config.name = NodeName("node-" + std::to_string(i));
+    config.known.clear();
+    for (std::size_t j = 0; j < nodes_.size(); ++j) {
+        if (j == i) continue;
+        const auto name = "node-" + std::to_string(j);
+        config.known.push_back({NodeName(name), "a", name});
+    }
+    auto& node = nodes_[i];
+    const bool verbose = std::getenv("SIM_LOG") != nullptr;
+    node.core = std::make_unique<core::Core>(
+        config, rng_(), verbose ? core::LogLevel::debug : core::LogLevel::info);
+    node.incarnation = ++incarnations_;
+    node.queue.clear();
+    node.waiting.clear();
+    node.step_planned = false;
+    node.wake_planned = Instant::max();
+    step(i);
+}
+
+void World::crash(std::size_t i, Millis down) {
+    auto& node = nodes_[i];
+    if (!node.core) return;
+    node.core.reset();
+    node.incarnation = 0;
+    node.waiting.clear();
+    clock_.after(down, [this, i] {
+        if (!nodes_[i].core) boot(i);
+    });
+}
+
+void World::command(std::size_t i, core::Command c) {
+    auto& node = nodes_[i];
+    if (!node.core) return;
+    node.queue.push_back(std::move(c));
+    if (node.step_planned) return;
+    node.step_planned = true;
+    clock_.after(Millis(1), [this, i, incarnation = node.incarnation] {
+        if (nodes_[i].incarnation == incarnation) step(i);
+    });
+}
+
+void World::step(std::size_t i) {
+    auto& node = nodes_[i];
+    if (!node.core) return;
+    node.step_planned = false;
+    std::vector<core::Command> batch;
+    batch.swap(node.queue);
+    const auto wall = kWallStart + clock_.now().time_since_epoch().count() +
+                      static_cast<std::int64_t>(i) * 100 - 100;
+    auto effects = node.core->apply(std::move(batch), clock_.now(), wall);
+    for (const auto& line : effects.logs) {
+        if (line.text.find("event=elected") != std::string::npos) ++terms_;
+        if (std::getenv("SIM_LOG")) {
+            std::cerr << to_seconds(clock_.now().time_since_epoch()) << " node-" << i << " "
+                      << line.text << "\n";
+        }
+    }
+    for (auto& a : effects.answers) {
+        const auto it = node.waiting.find(a.id);
+        if (it == node.waiting.end()) continue;
+        const auto then = std::move(it->second);
+        node.waiting.erase(it);
+        then(a);
+    }
+    for (auto& c : effects.calls) call(i, std::move(c));
+    const auto wake = node.core->wake();
+    if (wake < Instant::max()) {
+        clock_.at(std::max(wake, clock_.now() + Millis(1)), [this, i, inc = node.incarnation] {
+            auto& n = nodes_[i];
+            if (n.incarnation == inc && !n.step_planned && n.core->wake() <= clock_.now()) step(i);
+        });
+    }
+}
+
+Millis World::latency() { return Millis(1 + static_cast<std::int64_t>(rng_() % 4)); }
+
+World::Cut& World::cut_for(Node& node, Service service) {
+    if (service == Service::worker) return node.from_workers;
+    if (service == Service::peer) return node.from_nodes;
+    return node.from_state;
+}
+
+void World::call(std::size_t i, HttpCall c) {
+    auto& node = nodes_[i];
+    const auto incarnation = node.incarnation;
+    const auto id = c.id;
+    const auto answered = std::make_shared<bool>(false);
+    const auto done = [this, i, incarnation, id, answered](const HttpReply& reply) {
+        if (*answered || nodes_[i].incarnation != incarnation) return;
+        *answered = true;
+        command(i, core::CallDone{id, reply});
+    };
+    clock_.after(c.timeout, [done] { done({0, {}}); });
+    const auto cut = cut_for(node, c.service);
+    const bool lose = c.service != Service::peer &&
+                      std::uniform_real_distribution<>(0, 1)(rng_) < lost_answers_;
+    const auto deliver = [this, i, c, done, lose] {
+        serve(i, c, [this, i, service = c.service, done, lose](const HttpReply& reply) {
+            if (lose || cut_for(nodes_[i], service) != Cut::none) return;
+            clock_.after(latency(), [done, reply] { done(reply); });
+        });
+    };
+    if (cut == Cut::drop) return;
+    // Held messages are delivered when the interruption ends, however long ago they were given up.
+    const auto when = cut == Cut::hold ? node.cut_until + latency() : clock_.now() + latency();
+    clock_.at(when, deliver);
+}
+
+void World::serve(std::size_t i, const HttpCall& c, StateStandIn::Reply reply) {
+    if (c.service == Service::state) {
+        if (nodes_[i].refused && !c.target.starts_with("/watch")) {
+            reply({503, {}});
+        } else if (!nodes_[i].refused) {
+            state_.handle(c.method, c.target, c.body, std::move(reply));
+        }
+    } else if (c.service == Service::cloud) {
+        reply(cloud_.handle(c.method, c.target, c.body));
+    } else if (c.service == Service::peer) {
+        const auto to = node_named(c.endpoint);
+        if (nodes_[to].from_nodes != Cut::none) return;
+        request(to, Plane::back, c.method, c.target, c.body,
+                [reply](const Answer& a) { reply({a.status, a.body}); });
+    } else {
+        const auto it = workers_.find(HostName(c.endpoint.substr(std::string("worker:").size())));
+        if (it == workers_.end() || it->second->gone()) return;
+        auto& worker = *it->second;
+        const auto& [cut, until] = worker_cuts_[worker.host()];
+        if (cut != Cut::none && clock_.now() < until) {
+            if (cut == Cut::hold) clock_.at(until, [this, i, c, reply] { serve(i, c, reply); });
+            return;
+        }
+        if (worker.hanging()) {
+            clock_.at(worker.hang_until() + Millis(1), [this, i, c, reply] { serve(i, c, reply); });
+            return;
+        }
+        reply(worker.commands(c.body));
+    }
+}
+
+void World::request(std::size_t i, Plane plane, const std::string& method,
+                    const std::string& target, const std::string& body,
+                    std::function<void(const Answer&)> then) {
+    auto& node = nodes_[i];
+    if (!node.core) return;
+    const RequestId id(++next_request_);
+    node.waiting.emplace(id, std::move(then));
+    command(i, core::Request{id, plane, method, target, body, false});
+}
+
+// ---- workers ----
+
+std::size_t World::node_named(const std::string& name) const {
+    for (std::size_t i = 0; i < nodes_.size(); ++i) {
+        if (name == "node-" + std::to_string(i)) return i;
+    }
+    return nodes_.size();
+}
+
+void World::send_checkin(const HostName& host, std::size_t i, const std::string& body) {
+    const auto serial = workers_.at(host)->serial();
+    const auto deliver = [this, host, i, body, serial] {
+        if (nodes_[i].from_workers != Cut::none) return;
+        request(i, Plane::front, "POST", "/checkin", body, [this, host, i, serial](const Answer& a) {
+            const auto& [cut, until] = worker_cuts_[host];
+            if (nodes_[i].from_workers != Cut::none || (cut != Cut::none && clock_.now() < until)) {
+                return;
+            }
+            const HttpReply reply{a.status, a.body};
+            clock_.after(latency(), [this, host, serial, reply] {
+                const auto it = workers_.find(host);
+                if (it != workers_.end()) it->second->checkin_answered(serial, &reply);
+            });
+        });
+    };
+    const auto& [cut, until] = worker_cuts_[host];
+    if (cut != Cut::none && clock_.now() < until) {
+        if (cut == Cut::hold) clock_.at(until + latency(), deliver);
+        return;
+    }
+    clock_.after(latency(), deliver);
+}
+
+const wire::JobSpec* World::description(const JobId& id) {
+    const auto it = users_.find(id);
+    return it == users_.end() ? nullptr : &it->second.spec;
+}
+
+Millis World::run_time(const TaskRef& task) {
+    const auto& user = users_.at(task.job);
+    if (user.completed.contains(task.index)) return Millis(0);
+    return from_seconds(user.spec.expected_s) * (50 + static_cast<std::int64_t>(rng_() % 100)) / 100;
+}
+
+void World::task_completed(const TaskRef& task) { users_.at(task.job).completed.insert(task.index); }
+
+void World::task_started(const HostName& host, const TaskRef& task) {
+    ++starts_;
+    const auto& user = users_.at(task.job);
+    const auto& spec = user.spec;
+    for (auto& [other, worker] : workers_) {
+        if (other != host && worker->present().contains(task)) {
+            broken("ran_twice", task.str() + " on " + host.get() + " and " + other.get());
+        }
+    }
+    const auto& worker = *workers_.at(host);
+    const bool shape_ok = !spec.shapes || std::find(spec.shapes->begin(), spec.shapes->end(),
+                                                    worker.shape()) != spec.shapes->end();
+    if (!shape_ok || (spec.region && *spec.region != worker.region()) ||
+        (worker.spot() && !spec.reclaimable)) {
+        broken("wrong_place", task.str() + " on " + host.get());
+    }
+    std::map<std::string, std::uint32_t> zones;
+    for (auto& [other, w] : workers_) {
+        for (const auto& t : w->present()) {
+            if (t.job == task.job && t != task) ++zones[w->region()];
+        }
+    }
+    if (spec.together && !zones.empty() && !zones.contains(worker.region())) {
+        broken("wrong_place", task.str() + " away from its job's zone");
+    }
+    if (spec.apart && zones[worker.region()] + 1 > (spec.shards + 1) / 2) {
+        broken("wrong_place", task.str() + " too many in one zone");
+    }
+    if (clock_.now() > user.withdrawn_told + config_.cancel) {
+        broken("ran_cancelled", task.str() + " started");
+    }
+}
+
+// ---- users ----
+
+void World::make_users(int jobs) {
+    const std::vector<std::string> teams{"red", "blue", "free"};
+    for (int n = 0; n < jobs; ++n) {
+        User user;
+        auto& s = user.spec;
+        s.id = JobId(fmt::format("req-{:06}", rng_() % 900000 + static_cast<std::uint64_t>(n)));
+        s.jobclass = rng_() % 2 ? "short" : "long";
+        s.owner = teams[rng_() % teams.size()];
+        s.urgency = rng_() % 3 == 0 ? wire::Urgency::urgent : wire::Urgency::standard;
+        s.shards = static_cast<std::uint32_t>(1 + rng_() % 10);
+        s.cores = static_cast<double>(1 + rng_() % 3);
+        s.ram_gb = 2;
+        s.bundle = "img-" + std::to_string(rng_() % 3);
+        s.size_gb = 1;
+        s.expected_s = s.jobclass == "short" ? 6 : 25;
+        s.reclaimable = rng_() % 4 != 0;
+        s.together = rng_() % 6 == 0;
+        s.apart = !s.together && rng_() % 6 == 0;
+        if (rng_() % 6 == 0) s.shapes = std::vector<std::string>{"big"};
+        if (rng_() % 6 == 0 && !s.apart) s.region = rng_() % 2 ? "a" : "b";
+        if (rng_() % 3 == 0) {
+            s.snapshot_every_s = 5;
+            s.snapshot_s = 2;
+        }
+        if (rng_() % 2 == 0) s.due_s = 60;
+        const auto span = static_cast<std::uint64_t>(options_.troubles_s * 800);
+        user.submit_at = clock_.now() + Millis(static_cast<std::int64_t>(rng_() % span));
+        if (rng_() % 4 == 0) {
+            user.abort_at = user.submit_at + Millis(static_cast<std::int64_t>(rng_() % 40000));
+        }
+        users_.emplace(s.id, std::move(user));
+    }
+    for (auto& [id, user] : users_) {
+        clock_.at(user.submit_at, [this, &user = user] { submit(user); });
+        if (user.abort_at < Instant::max()) {
+            clock_.at(user.abort_at, [this, &user = user] { abort(user); });
+        }
+    }
+    clock_.after(Millis(5000), [this] { ask_unknown(); });
+}
+
+void World::submit(User& user) {
+    if (user.accepted) return;
+    wire::Writer w;
+    wire::encode_job(w, user.spec);
+    request(rng_() % nodes_.size(), Plane::front, "POST", "/v1/jobs", w.take(),
+            [this, &user](const Answer& a) {
+                if (a.status == 400 || a.status == 422) {
+                    broken("forgotten", user.spec.id.get() + " refused");
+                }
+                if (a.status != 200 && a.status != 201) return;
+                const bool first = !user.accepted;
+                user.accepted = true;
+                told(user, a);
+                if (first) poll(user);
+            });
+    clock_.after(Millis(1000 + static_cast<std::int64_t>(rng_() % 500)),
+                 [this, &user] { submit(user); });
+}
+
+void World::poll(User& user) {
+    // Also after the end: what was told must stay so, at every node.
+    request(rng_() % nodes_.size(), Plane::front, "GET", "/v1/jobs/" + user.spec.id.get(), {},
+            [this, &user](const Answer& a) {
+                if (a.status == 404) broken("forgotten", user.spec.id.get());
+                if (a.status == 200) told(user, a);
+            });
+    const auto pause = user.final ? 20000 : 4000;
+    clock_.after(Millis(pause + static_cast<std::int64_t>(rng_() % 1000)),
+                 [this, &user] { poll(user); });
+}
+
+void World::abort(User& user) {
+    if (user.final) return;
+    if (user.accepted) {
+        user.abort_asked = true;
+        request(rng_() % nodes_.size(), Plane::front, "POST",
+                "/v1/jobs/" + user.spec.id.get() + "/abort", {}, [this, &user](const Answer& a) {
+                    if (a.status == 404) broken("forgotten", user.spec.id.get() + " (abort)");
+                    if (a.status == 200) told(user, a);
+                });
+    }
+    clock_.after(Millis(1500), [this, &user] { abort(user); });
+}
+
+void World::told(User& user, const Answer& a) {
+    const auto doc = wire::Document::parse(a.body);
+    const auto phase = doc->root()["phase"].need_text("phase");
+    const auto& id = user.spec.id.get();
+    if (user.final && phase != wire::name_of(*user.final)) broken("went_back", id + " " + phase);
+    if (phase == "done") {
+        if (user.completed.size() < user.spec.shards) broken("not_done", id);
+        user.final = JobPhase::done;
+    } else if (phase == "withdrawn") {
+        if (!user.abort_asked) broken("went_back", id + " was not cancelled by its user");
+        if (!user.final) user.withdrawn_told = clock_.now();
+        user.final = JobPhase::withdrawn;
+    }
+}
+
+void World::ask_unknown() {
+    request(rng_() % nodes_.size(), Plane::front, "GET", "/v1/jobs/req-999999999", {},
+            [this](const Answer& a) {
+                if (a.status == 200) broken("invented", "req-999999999");
+            });
+    clock_.after(Millis(5000), [this] { ask_unknown(); });
+}
+
+// ---- faults ----
+
+void World::plan_fault() {
+    const auto mean = options_.fault_every_s * 1000;
+    clock_.after(Millis(static_cast<std::int64_t>(mean / 2) +
+                        static_cast<std::int64_t>(rng_() % static_cast<std::uint64_t>(mean))),
+                 [this] {
+                     if (clock_.now() > troubles_end_) return;
+                     fault();
+                     plan_fault();
+                 });
+}
+
+void World::fault() {
+    const auto i = rng_() % nodes_.size();
+    auto& node = nodes_[i];
+    const Millis span(2000 + static_cast<std::int64_t>(rng_() % 25000));
+    const auto until = clock_.now() + span;
+    const auto mode = rng_() % 2 ? Cut::hold : Cut::drop;
+    const auto worker = [this]() -> WorkerStandIn* {
+        std::vector<WorkerStandIn*> alive;
+        for (auto& [host, w] : workers_) {
+            if (!w->gone()) alive.push_back(w.get());
+        }
+        return alive.empty() ? nullptr : alive[rng_() % alive.size()];
+    };
+    switch (rng_() % 14) {
+        case 0:
+            crash(i, Millis(100 + static_cast<std::int64_t>(rng_() % 4000)));
+            break;
+        case 1:
+            for (std::size_t n = 0; n < nodes_.size(); ++n) {
+                crash(n, Millis(100 + static_cast<std::int64_t>(rng_() % 4000)));
+            }
+            break;
+        case 2:
+            node.from_state = mode;
+            node.cut_until = until;
+            break;
+        case 3:
+            node.from_workers = mode;
+            node.cut_until = until;
+            break;
+        case 4:
+            node.from_state = node.from_workers = node.from_nodes = mode;
+            node.cut_until = until;
+            break;
+        case 5:
+            node.refused = true;
+            node.cut_until = until;
+            break;
+        case 6:
+            state_.set_outage(true);
+            clock_.after(span / 2, [this] { state_.set_outage(false); });
+            break;
+        case 7:
+            cloud_.set_outage(true);
+            clock_.after(span, [this] { cloud_.set_outage(false); });
+            break;
+        case 8:
+            if (auto* w = worker()) worker_cuts_[w->host()] = {mode, until};
+            break;
+        case 9:
+            if (auto* w = worker()) w->hang(span);
+            break;
+        case 10:
+            if (auto* w = worker()) {
+                w->set_notice(clock_.now() + Millis(8000));
+                clock_.after(Millis(8000), [this, host = w->host()] { cloud_.take(host); });
+            }
+            break;
+        case 11:
+            if (auto* w = worker()) rng_() % 2 ? cloud_.take(w->host()) : cloud_.fail(w->host());
+            break;
+        case 12:
+            lost_answers_ = 0.1;
+            clock_.after(span, [this] { lost_answers_ = 0; });
+            break;
+        default:
+            if (auto* w = worker()) {
+                w->set_faulty(true);
+                clock_.after(span, [w] { w->set_faulty(false); });
+            }
+    }
+    clock_.at(until, [this, i] {
+        auto& n = nodes_[i];
+        if (clock_.now() < n.cut_until) return;
+        n.from_state = n.from_workers = n.from_nodes = Cut::none;
+        n.refused = false;
+    });
+}
+
+// ---- rules ----
+
+void World::broken(const std::string& rule, const std::string& detail) {
+    broken_.push_back(fmt::format("{} at {:.2f} s: {}", rule,
+                                  to_seconds(clock_.now().time_since_epoch()), detail));
+}
+
+void World::check() {
+    std::map<std::string, double> use;
+    for (auto& [host, worker] : workers_) {
+        for (const auto& task : worker->present()) {
+            const auto& user = users_.at(task.job);
+            use[user.spec.owner] += user.spec.cores;
+            if (clock_.now() > user.withdrawn_told + config_.cancel) {
+                broken("ran_cancelled", task.str() + " is on " + host.get());
+            }
+        }
+    }
+    for (const auto& team : config_.teams) {
+        if (team.cpus_max > 0 && use[team.name] > team.cpus_max + 1e-6) {
+            broken("quota", fmt::format("{} uses {}", team.name, use[team.name]));
+        }
+    }
+}
+
+std::size_t World::jobs_left() const {
+    return static_cast<std::size_t>(std::count_if(
+        users_.begin(), users_.end(), [](const auto& u) { return !u.second.final; }));
+}
+
+std::string World::describe_left() const {
+    std::string out;
+    for (const auto& [id, user] : users_) {
+        if (user.final) continue;
+        out += fmt::format("{} accepted={} completed={}/{} cores={} apart={} together={}\n", id.get(),
+                           user.accepted, user.completed.size(), user.spec.shards, user.spec.cores,
+                           user.spec.apart, user.spec.together);
+    }
+    return out;
+}
+
+void World::run() {
+    const auto limit = troubles_end_ + Millis(400000);
+    Instant quiet_until = Instant::max();
+    while (clock_.now() < std::min(limit, quiet_until) && broken_.empty()) {
+        clock_.step(limit);
+        check();
+        // Some time after the last end, so that late messages are seen to do no harm.
+        if (quiet_until == Instant::max() && clock_.now() > troubles_end_ && jobs_left() == 0) {
+            quiet_until = clock_.now() + Millis(45000);
+        }
+    }
+}
+
+}  // namespace dunebridge::sim
--- /dev/null
+++ b/tests/sim/world.hpp
@@ -0,0 +1,122 @@
+// The simulated world: controllers (real cores), stand-ins, users, a network with faults, and the
+// protocol's rules, checked after every step. All of it repeats for a seed.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/core.hpp"
+#include "sim/clock.hpp"
+#include "sim/cloud_stand_in.hpp"
+#include "sim/state_stand_in.hpp"
+#include "sim/worker_stand_in.hpp"
+
+namespace dunebridge::sim {
+
+struct Options {
+    std::uint64_t seed = 1;
+    double troubles_s = 240;  // for how long faults come
+    double fault_every_s = 12;
+    int jobs = 24;
+    std::size_t machines = 8;
+};
+
+class World : public WorkerHost {
+  public:
+    explicit World(const Options& options);
+    ~World() override;
+
+    // Runs the troubles, then quiet until every job is over or the limit is reached.
+    void run();
+    const std::vector<std::string>& broken_rules() const { return broken_; }
+    std::size_t jobs_left() const;
+    std::size_t tasks_started() const { return starts_; }
+    std::size_t terms() const { return terms_; }
+    std::string describe_left() const;
+
+  private:
+    enum class Cut : std::uint8_t { none, drop, hold };
+    struct Node {
+        std::unique_ptr<core::Core> core;
+        std::uint64_t incarnation = 0;
+        std::vector<core::Command> queue;
+        bool step_planned = false;
+        Instant wake_planned = Instant::max();
+        Cut from_state = Cut::none;
+        Cut from_workers = Cut::none;
+        Cut from_nodes = Cut::none;
+        bool refused = false;  // by the state service alone
+        Instant cut_until{};
+        std::map<RequestId, std::function<void(const core::Answer&)>> waiting;
+    };
+    struct User {
+        wire::JobSpec spec;
+        Instant submit_at{};
+        Instant abort_at = Instant::max();
+        bool accepted = false;
+        bool abort_asked = false;
+        std::optional<wire::JobPhase> final;
+        Instant withdrawn_told = Instant::max();
+        std::set<std::uint32_t> completed;
+    };
+
+    // Nodes.
+    void boot(std::size_t node);
+    void crash(std::size_t node, Millis down);
+    void command(std::size_t node, core::Command command);
+    void step(std::size_t node);
+    void call(std::size_t node, core::HttpCall call);
+    void serve(std::size_t node, const core::HttpCall& call, StateStandIn::Reply reply);
+    void request(std::size_t node, core::Plane plane, const std::string& method,
+                 const std::string& target, const std::string& body,
+                 std::function<void(const core::Answer&)> then);
+    Cut& cut_for(Node& node, core::Service service);
+    Millis latency();
+
+    // Workers (WorkerHost).
+    const wire::JobSpec* description(const JobId& id) override;
+    Millis run_time(const TaskRef& task) override;
+    void task_started(const HostName& host, const TaskRef& task) override;
+    void task_completed(const TaskRef& task) override;
+    void send_checkin(const HostName& host, std::size_t node, const std::string& body) override;
+    std::size_t node_count() const override { return nodes_.size(); }
+    std::size_t node_named(const std::string& name) const override;
+
+    // Users.
+    void make_users(int jobs);
+    void submit(User& user);
+    void poll(User& user);
+    void abort(User& user);
+    void told(User& user, const core::Answer& answer);
+    void ask_unknown();
+
+    void plan_fault();
+    void fault();
+    void check();
+    void broken(const std::string& rule, const std::string& detail);
+
+    Options options_;
+    std::mt19937_64 rng_;
+    Clock clock_;
+    core::Config config_;
+    StateStandIn state_;
+    CloudStandIn cloud_;
+    std::vector<Node> nodes_;
+    std::map<HostName, std::unique_ptr<WorkerStandIn>> workers_;
+    std::map<HostName, std::pair<Cut, Instant>> worker_cuts_;
+    std::map<JobId, User> users_;
+    std::vector<std::string> broken_;
+    std::uint64_t next_request_ = 0;
+    std::uint64_t incarnations_ = 0;
+    std::size_t starts_ = 0;
+    std::size_t terms_ = 0;
+    double lost_answers_ = 0;
+    Instant troubles_end_{};
+};
+
+}  // namespace dunebridge::sim
