--- a/src/app/runtime.hpp
+++ b/src/app/runtime.hpp
@@ -1,12 +1,11 @@
 // Input and output around the core: carries requests and replies in, and effects out.
 #pragma once
 
-#include <boost/asio.hpp>
 #include <memory>
-#include <utility>  // first: Boost 1.74's awaitable.hpp uses std::exchange without it
 #include <vector>
 
 #include "core/core.hpp"
+#include "net/asio.hpp"
 #include "net/http_client.hpp"
 #include "net/http_server.hpp"
 
--- /dev/null
+++ b/src/net/asio.hpp
@@ -0,0 +1,7 @@
+// Asio, with what Boost 1.74's awaitable.hpp forgets to include: it uses std::exchange.
+#pragma once
+
+#include <utility>
+// The blank line keeps the order.
+
+#include <boost/asio.hpp>
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -2,15 +2,14 @@
 // every call.
 #pragma once
 
-#include <boost/asio.hpp>
 #include <memory>
 #include <string>
 #include <unordered_map>
-#include <utility>  // first: Boost 1.74's awaitable.hpp uses std::exchange without it
 #include <vector>
 
 #include "base/types.hpp"
 #include "core/port.hpp"
+#include "net/asio.hpp"
 
 namespace dunebridge::net {
 
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -1,16 +1,15 @@
 // HTTP/1.1 server: reads requests, hands them over, and writes the answers when they come.
 #pragma once
 
-#include <boost/asio.hpp>
 #include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
 #include <unordered_map>
-#include <utility>  // first: Boost 1.74's awaitable.hpp uses std::exchange without it
 
 #include "base/types.hpp"
 #include "core/port.hpp"
+#include "net/asio.hpp"
 
 namespace dunebridge::net {
 
