Leader change no longer returns every machine: silence counts from the term's start

Machines that have been up are on record as such. Also: ordinary machines weigh by price per core, preemption victims are those with least work to lose.

--- a/src/core/ledger.cpp
+++ b/src/core/ledger.cpp
@@ -171,6 +171,7 @@
                                     std::string(v["shape"].text().value_or("")),
                                     std::string(v["region"].text().value_or("")),
                                     v["spot"].boolean().value_or(false));
+        machine.was_up = v["up"].boolean().value_or(false);
         dirty_.erase(row.key);
         const auto tasks = v["tasks"];
         for (std::size_t i = 0; i < tasks.size(); ++i) {
@@ -373,7 +374,7 @@
     machine.shape = shape;
     machine.region = region;
     machine.spot = spot;
-    machine.known_since = machine.idle_since = port_.now();
+    machine.known_since = machine.rented_at = machine.idle_since = port_.now();
     mark(kMachines + host.get());
     return machine;
 }
@@ -383,6 +384,12 @@
     return it == machines_.end() ? nullptr : &it->second;
 }
 
+void Ledger::mark_up(Machine& machine) {
+    if (machine.was_up) return;
+    machine.was_up = true;
+    mark(kMachines + machine.host.get());
+}
+
 void Ledger::drop_machine(Machine& machine) {
     while (!machine.tasks.empty()) remove(machine, machine.tasks.begin()->first);
     const auto host = machine.host;
@@ -485,8 +492,8 @@
 
 std::string Ledger::machine_value(const Machine& m) const {
     Writer w;
-    w.map(5).text("endpoint").text(m.endpoint).text("shape").text(m.shape);
-    w.text("region").text(m.region).text("spot").boolean(m.spot);
+    w.map(6).text("endpoint").text(m.endpoint).text("shape").text(m.shape);
+    w.text("region").text(m.region).text("spot").boolean(m.spot).text("up").boolean(m.was_up);
     w.text("tasks").list(m.tasks.size());
     for (const auto& [key, p] : m.tasks) {
         w.list(3).text(p.job->spec.id.get()).count(p.index).count(p.attempt.get());
--- a/src/core/ledger.hpp
+++ b/src/core/ledger.hpp
@@ -105,7 +105,9 @@
     ReportOrder last;
     Epoch shown;
     std::uint64_t fence = 0;
-    Instant known_since{};
+    Instant known_since{};  // to this term's leader
+    Instant rented_at{};    // as far as the machine list tells
+    bool was_up = false;    // has reported, in this term or an earlier one; on record
     Instant last_report{};
     Instant last_reply{};
     std::optional<Instant> taken_at;  // announced by a notice
@@ -151,6 +153,8 @@
                          const std::string& shape, const std::string& region, bool spot);
     Machine* find_machine(const HostName& host);
     std::map<HostName, Machine>& machines() { return machines_; }
+    // The machine has reported: on record, so that a later leader does not wait for it to boot.
+    void mark_up(Machine& machine);
     // The machine is proved gone, and so is everything on it.
     void drop_machine(Machine& machine);
 
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -20,6 +20,9 @@
 constexpr Millis kResizeEvery{1000};
 constexpr Millis kRefusedPause{15000};
 constexpr Millis kMostRefused{60000};
+constexpr Millis kUnheardMargin{3000};
+constexpr Millis kUnheardIdle{15000};
+constexpr Millis kStuckMargin{20000};
 constexpr std::size_t kMostHosts = 100;
 constexpr std::uint64_t kMostRented = 50;
 constexpr double kLoadMemory_s = 90;
@@ -138,7 +141,7 @@
     m->listed = true;
     m->missing_lists = 0;
     if (!m->reported) {
-        m->known_since = std::min(m->known_since, port_.now() - from_seconds(row.held_s));
+        m->rented_at = std::min(m->rented_at, port_.now() - from_seconds(row.held_s));
         m->starting = row.phase == wire::RentalPhase::starting;
     }
     if (row.phase == wire::RentalPhase::failed && !m->failed) {
@@ -172,10 +175,13 @@
     const auto* t = type(m.shape);
     const auto startup = from_seconds(t ? t->startup_s : 60);
     if (!m.reported) {
-        const auto age = now - m.known_since;
-        if (!m.tasks.empty() && age > config_.lease + Millis(3000)) {
-            remove(m, "unheard");
-        } else if (age > startup * 4 + Millis(30000)) {
+        // A new leader hears of machines only from its own term's start on.
+        const auto known = now - m.known_since;
+        if (!m.tasks.empty()) {
+            if (known > config_.lease + kUnheardMargin) remove(m, "unheard");
+        } else if (m.was_up) {
+            if (known > kUnheardIdle) remove(m, "unheard");
+        } else if (now - m.rented_at > startup * 7 / 2 + kStuckMargin) {
             remove(m, "stuck");
         }
         return;
--- a/src/fleet/sizing.cpp
+++ b/src/fleet/sizing.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+constexpr double kSparePenalty = 0.3;
+constexpr double kCrowdPenalty = 0.02;
+
 bool holds(const wire::MachineType& t, const Demand& d) {
     return t.cores >= d.cores && t.ram_gb >= d.ram_gb && t.accelerators >= d.accelerators &&
            (d.shapes.empty() ||
@@ -50,11 +53,12 @@
                 if (spot && demand && !demand->spot_allowed) continue;
                 const Market m{t.name, region, spot};
                 if (in.blocked.contains(m)) continue;
-                // A machine much larger than what is wanted is mostly paid for nothing.
-                const double useful = std::min(t.cores, std::max(wanted_cores, 1.0));
+                // A machine larger than what is wanted is partly paid for nothing, at first.
+                const double spare = std::max(0.0, t.cores - wanted_cores) / t.cores;
                 const auto it = counts.by_region.find(region);
                 const double crowd = it == counts.by_region.end() ? 0 : double(it->second);
-                const double cost = (spot ? t.low_price : t.rate) / useful * (1 + 0.02 * crowd);
+                const double cost = (spot ? t.low_price : t.rate) / t.cores *
+                                    (1 + kSparePenalty * spare) * (1 + kCrowdPenalty * crowd);
                 if (cost >= best_cost) continue;
                 best_cost = cost;
                 best = &t;
--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -167,26 +167,33 @@
     }
 }
 
+// The preemption list is kept in order of start, the latest first: the first that fits has the
+// least work to lose.
 bool Scheduler::preempt(const Job& job, const Resources& need) {
+    Placement* victim = nullptr;
+    std::size_t room = 0;
     for (std::size_t i = 0; i < rooms_.size(); ++i) {
         if (!allowed(job, i)) continue;
         for (auto& [key, p] : machines_[i]->tasks) {
             if (high(*p.job) || p.halting || !p.committed) continue;
             if (p.job->tasks[p.index].shielded) continue;
+            if (victim && p.placed_at <= victim->placed_at) continue;
             auto later = rooms_[i].later;
             later.add(need_of(*p.job));
             if (!later.holds(need)) continue;
-            p.preempted = true;
-            const bool saves = p.job->spec.snapshot_every_s > 0;
-            workers_.halt(*machines_[i], p, saves ? p.job->spec.snapshot_s + 1 : 0);
-            later.subtract(need);
-            rooms_[i].later = later;
-            port_.log(core::LogLevel::info, "event=preempt victim={} for={} host={}", p.ref().str(),
-                      job.spec.id.get(), machines_[i]->host.get());
-            return true;
+            victim = &p;
+            room = i;
         }
     }
-    return false;
+    if (!victim) return false;
+    victim->preempted = true;
+    const bool saves = victim->job->spec.snapshot_every_s > 0;
+    workers_.halt(*machines_[room], *victim, saves ? victim->job->spec.snapshot_s + 1 : 0);
+    rooms_[room].later.add(need_of(*victim->job));
+    rooms_[room].later.subtract(need);
+    port_.log(core::LogLevel::info, "event=preempt victim={} for={} host={}", victim->ref().str(),
+              job.spec.id.get(), machines_[room]->host.get());
+    return true;
 }
 
 }  // namespace dunebridge::scheduler
--- a/src/workers/workers.cpp
+++ b/src/workers/workers.cpp
@@ -100,7 +100,7 @@
     if (m.reported && r.order <= m.last) return true;
     if (!m.reported) {
         port_.log(LogLevel::info, "event=machine_up host={} shape={} after_s={:.1f}", m.host.get(),
-                  m.shape, to_seconds(port_.now() - m.known_since));
+                  m.shape, to_seconds(port_.now() - m.rented_at));
         m.idle_since = port_.now();
     }
     const auto term_of = [](Epoch e) { return e.get() >> kFenceBits; };
@@ -109,6 +109,7 @@
         m.last_reply = port_.now();
     }
     m.reported = true;
+    ledger_.mark_up(m);
     m.starting = false;
     m.last = r.order;
     m.shown = r.epoch;
