--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -25,7 +25,7 @@
 constexpr Millis kStuckMargin{20000};
 constexpr std::size_t kMostHosts = 100;
 constexpr std::uint64_t kMostRented = 50;
-constexpr double kLoadMemory_s = 90;
+constexpr double kLoadMemory_s = 45;
 constexpr double kLearnRate = 0.1;
 // The other nodes' share of the cloud's budget is for the machine types.
 constexpr double kCallShare = 0.8;
@@ -381,8 +381,14 @@
         if (port_.now() < r.until) in.blocked.insert(market);
     }
     const auto result = plan(in);
-    port_.log(LogLevel::debug, "event=sizing load={:.1f} placed={:.1f} target={:.1f} machines={}",
-              load_cores_, in.placed_cores, result.target_cores, machines.size());
+    double up_cores = 0;
+    for (std::size_t i = 0; i < machines.size(); ++i) {
+        if (in.machines[i].available && machines[i]->reported) up_cores += in.machines[i].cores;
+    }
+    port_.log(LogLevel::debug,
+              "event=sizing load={:.1f} placed={:.1f} target={:.1f} up={} machines={} waiting={}",
+              load_cores_, in.placed_cores, result.target_cores, up_cores, machines.size(),
+              in.demand.size());
     for (const auto& rent : result.rent) {
         const auto claim = fmt::format("{}-{}", election_.term().get(), ++claim_count_);
         ledger_.add_claim({claim, rent.market.shape, rent.market.region, rent.market.spot,
--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -12,6 +12,11 @@
 
 namespace {
 
+constexpr double kNoDeadline_s = 3600;
+constexpr double kFetchGuess_gb_per_s = 0.5;
+constexpr double kEstimateDoubt = 1.5;
+constexpr double kStop_s = 1.5;  // for a victim to stop and its machine to report it
+
 Resources need_of(const Job& job) {
     return {job.spec.cores, job.spec.accelerators, job.spec.ram_gb};
 }
@@ -76,6 +81,33 @@
     return within;
 }
 
+Instant Scheduler::due(const Job& job) const {
+    double within = job.spec.due_s.value_or(kNoDeadline_s);
+    for (const auto& o : config_.objectives) {
+        if (o.jobclass == job.spec.jobclass && o.kind == "finished" && o.within_s > 0) {
+            within = std::min(within, o.within_s);
+        }
+    }
+    return job.submitted + from_seconds(within);
+}
+
+Instant Scheduler::start_by(const Entry& entry) const {
+    const auto& spec = entry.job->spec;
+    double within = kNoDeadline_s;
+    for (const auto& o : config_.objectives) {
+        const bool wait = o.kind == "wait" && o.jobclass == spec.jobclass;
+        const bool guarantee = o.kind == "guarantee" && entry.guaranteed;
+        if ((wait || guarantee) && o.within_s > 0) within = std::min(within, o.within_s);
+    }
+    // A start counts once the image is there; and the owner's estimate is often wrong by half.
+    const double fetch = spec.size_gb / kFetchGuess_gb_per_s;
+    const double run = std::max(fleet_.expected_s(*entry.job), spec.expected_s) * kEstimateDoubt;
+    auto latest = entry.job->submitted + from_seconds(std::max(0.0, within - fetch - kStop_s));
+    if (spec.due_s)
+        latest = std::min(latest, due(*entry.job) - from_seconds(run + fetch + kStop_s));
+    return latest;
+}
+
 bool Scheduler::high(const Job& job) const {
     return job.spec.urgency >= config_.tuning.preempts_from;
 }
@@ -88,8 +120,7 @@
             port_.wake_at(job.retry_at);
             continue;
         }
-        const auto due = job.submitted + from_seconds(job.spec.due_s.value_or(3600));
-        out.push_back({&job, false, due});
+        out.push_back({&job, false, due(job)});
     }
     if (out.empty()) return out;
     const auto within = within_guarantee();
@@ -157,7 +188,12 @@
         rooms_[*i].later.subtract(need);
         --left;
     }
-    if (!high(job)) return;
+    if (!high(job) || left == 0) return;
+    const auto latest = start_by(entry);
+    if (port_.now() < latest) {
+        port_.wake_at(latest);
+        return;
+    }
     for (; left > 0; --left) {
         if (const auto i = promised_fit(rooms_, need, ok)) {
             rooms_[*i].later.subtract(need);
--- a/src/scheduler/scheduler.hpp
+++ b/src/scheduler/scheduler.hpp
@@ -37,6 +37,11 @@
     // Stops the first fitting best-effort task for a high-priority one; room it leaves is promised.
     bool preempt(const core::Job& job, const Resources& need);
     bool high(const core::Job& job) const;
+    // When the job's tasks must have started for its aims to be kept: the paper's start time ST.
+    // Until then a high-priority task is held rather than let another lose its work.
+    Instant start_by(const Entry& entry) const;
+    // When the job should be over, for the order inside a priority.
+    Instant due(const core::Job& job) const;
 
     core::Port& port_;
     core::Ledger& ledger_;
