--- a/src/api/jobs.cpp
+++ b/src/api/jobs.cpp
@@ -16,7 +16,7 @@
 constexpr int kMostTries = 5;
 constexpr int kMostConfirming = 2;
 constexpr int kMostCreating = 2;
-constexpr Millis kCallTimeout{1200};
+constexpr Millis kCallTimeout{900};
 constexpr Millis kGiveUp{1500};
 constexpr int kRetryAfter_s = 1;
 // A node's share of the budgets; the leader's ledger has the larger part (core/ledger.cpp).
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -38,6 +38,7 @@
     port_.run_timers();
     if (peers_.highest_term() > election_.term()) election_.depose(peers_.highest_term());
     // Where the state service serves others but not this node, another should lead.
+    store_.tick();
     election_.set_eligible(store_.reachable());
     election_.tick();
     follow_leadership();
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -361,6 +361,8 @@
     in.demand = demand();
     in.load_cores = load_cores_;
     in.headroom = config_.tuning.headroom;
+    in.boot_s = types_.front().startup_s;
+    for (const auto& t : types_) in.boot_s = std::min(in.boot_s, t.startup_s);
     in.idle_return_s = to_seconds(config_.tuning.idle_return);
     std::vector<Machine*> machines;
     for (auto& [host, m] : ledger_.machines()) {
--- a/src/fleet/sizing.cpp
+++ b/src/fleet/sizing.cpp
@@ -8,6 +8,7 @@
 
 namespace {
 
+constexpr double kOrdinaryBoots = 1.5;
 constexpr double kSparePenalty = 0.3;
 constexpr double kCrowdPenalty = 0.02;
 
@@ -42,7 +43,7 @@
 // The cheapest market for a core that can hold the demand; ties go to the zone with fewest
 // machines, so that one zone's loss or a wave of takebacks hurts less.
 const wire::MachineType* choose(const SizingInput& in, const Counts& counts, const Demand* demand,
-                                double wanted_cores, Market& market) {
+                                double wanted_cores, bool ordinary, Market& market) {
     const wire::MachineType* best = nullptr;
     double best_cost = std::numeric_limits<double>::max();
     for (const auto& t : in.types) {
@@ -51,6 +52,7 @@
             if (demand && !demand->region.empty() && demand->region != region) continue;
             for (const bool spot : {true, false}) {
                 if (spot && demand && !demand->spot_allowed) continue;
+                if (!spot && !ordinary) continue;
                 const Market m{t.name, region, spot};
                 if (in.blocked.contains(m)) continue;
                 // A machine larger than what is wanted is partly paid for nothing, at first.
@@ -102,7 +104,7 @@
     for (const auto& d : in.demand) {
         if (d.fits_somewhere || d.tasks <= 0) continue;
         Market market;
-        const auto* t = choose(in, counts, &d, d.cores * d.tasks, market);
+        const auto* t = choose(in, counts, &d, d.cores * d.tasks, true, market);
         if (!t) continue;
         add_rent(out, counts, market, t->cores);
         ++rented;
@@ -117,7 +119,11 @@
     }
     while (counts.cores < out.target_cores && rented < kMostAtOnce) {
         Market market;
-        const auto* t = choose(in, counts, typical, out.target_cores - counts.cores, market);
+        // Ordinary machines cost a multiple: worth it only for a backlog that would outlast a boot.
+        const bool ordinary = backlog > counts.cores * in.boot_s * kOrdinaryBoots ||
+                              (typical && !typical->spot_allowed);
+        const auto* t =
+            choose(in, counts, typical, out.target_cores - counts.cores, ordinary, market);
         if (!t) break;
         add_rent(out, counts, market, t->cores);
         ++rented;
--- a/src/state/store.cpp
+++ b/src/state/store.cpp
@@ -8,6 +8,11 @@
 using core::Service;
 using wire::Document;
 
+namespace {
+constexpr Millis kProbeAfter{800};
+constexpr Millis kProbeTimeout{700};
+}  // namespace
+
 void Budget::refill(Instant now) {
     if (now > last_) tokens_ = std::min(rate_, tokens_ + rate_ * to_seconds(now - last_));
     last_ = now;
@@ -38,6 +43,7 @@
                [this, what, then = std::move(then)](const HttpReply& reply) {
                    const bool good = reply.status > 0 && reply.status != 503;
                    if (good || reachable_) last_good_ = port_.now();
+                   last_answer_ = port_.now();
                    reachable_ = good;
                    if (!good) {
                        port_.log(core::LogLevel::debug, "event=state_failed status={} target={}",
@@ -47,6 +53,17 @@
                });
 }
 
+void Store::tick() {
+    // A node that seldom calls would learn from its users' waiting that it is cut off.
+    const auto due = last_answer_ + kProbeAfter;
+    if (probing_ || port_.now() < due) {
+        if (!probing_) port_.wake_at(due);
+        return;
+    }
+    probing_ = true;
+    get("term", kProbeTimeout, [this](const GetResult&) { probing_ = false; });
+}
+
 void Store::multi(const std::vector<wire::Guard>& guards, const std::vector<wire::Write>& writes,
                   Millis timeout, std::function<void(const MultiResult&)> then) {
     call("POST", "/multi", wire::encode_multi(guards, writes), timeout,
--- a/src/state/store.hpp
+++ b/src/state/store.hpp
@@ -89,6 +89,8 @@
     // The status is the HTTP one, or 0 / -1 as in HttpReply.
     void touch_lease(LeaseId lease, std::function<void(int status)> then);
 
+    // Asks for something small when nothing else has been asked lately.
+    void tick();
     // Whether the last answers were good ones.
     bool reachable() const { return reachable_; }
     // How long calls have gone without a good answer.
@@ -106,6 +108,8 @@
     const core::Config& config_;
     bool reachable_ = true;
     Instant last_good_{};
+    Instant last_answer_{};
+    bool probing_ = false;
 };
 
 }  // namespace dunebridge::state
