--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -23,6 +23,7 @@
 constexpr Millis kUnheardMargin{3000};
 constexpr Millis kUnheardIdle{15000};
 constexpr Millis kStuckMargin{20000};
+constexpr Millis kObserveFirst{60000};  // a new leader returns no idle machines before
 constexpr std::size_t kMostHosts = 100;
 constexpr std::uint64_t kMostRented = 50;
 constexpr double kLoadMemory_s = 45;
@@ -47,6 +48,7 @@
     claim_after_.clear();
     claim_count_ = 0;
     last_load_ = Instant{};
+    no_return_before_ = port_.now() + kObserveFirst;
 }
 
 bool Fleet::current(std::uint64_t generation) const {
@@ -98,7 +100,6 @@
 
 void Fleet::list() {
     listing_ = true;
-    list_asked_ = port_.now();
     list_seen_.clear();
     list_page({}, election_.generation());
 }
@@ -122,7 +123,7 @@
                            list_page(page.hosts.back().host.get(), generation);
                            return;
                        }
-                       apply_missing(list_asked_);
+                       apply_missing();
                    } catch (const wire::DecodeError& e) {
                        port_.log(LogLevel::error, "event=bad_list error=\"{}\"", e.what());
                    }
@@ -152,9 +153,9 @@
     }
 }
 
-void Fleet::apply_missing(Instant) {
+void Fleet::apply_missing() {
     for (auto& [host, m] : ledger_.machines()) {
-        if (m.listed && !list_seen_.contains(host)) ++m.missing_lists;
+        if (!list_seen_.contains(host)) ++m.missing_lists;
     }
 }
 
@@ -181,6 +182,11 @@
             if (known > config_.lease + kUnheardMargin) remove(m, "unheard");
         } else if (m.was_up) {
             if (known > kUnheardIdle) remove(m, "unheard");
+        } else if (m.missing_lists >= 2 && known > config_.list_lag * 3 + kUnheardMargin) {
+            // Deleted by an earlier leader whose last word on it was lost: a ghost of the list.
+            remove(m, "unlisted");
+        } else if (!m.starting && known > kUnheardIdle + config_.list_lag) {
+            remove(m, "unheard");
         } else if (now - m.rented_at > startup * 7 / 2 + kStuckMargin) {
             remove(m, "stuck");
         }
@@ -189,7 +195,7 @@
     const Millis short_silence = config_.report * 2;
     if (m.taken_at && now > *m.taken_at && workers_.silent(m, short_silence)) {
         remove(m, "taken");
-    } else if (m.missing_lists >= 2 && workers_.silent(m, short_silence)) {
+    } else if (m.listed && m.missing_lists >= 2 && workers_.silent(m, short_silence)) {
         remove(m, "unlisted");
     } else if (workers_.silent(m, config_.lease + Millis(2000))) {
         remove(m, "silent");
@@ -349,7 +355,8 @@
     const auto now = port_.now();
     const double dt = last_load_ == Instant{} ? 0 : to_seconds(now - last_load_);
     last_load_ = now;
-    const double keep = std::exp(-dt / kLoadMemory_s);
+    // A new leader takes what it finds for the load, until it has seen more.
+    const double keep = dt > 0 ? std::exp(-dt / kLoadMemory_s) : 0.0;
     load_cores_ = load_cores_ * keep + cores * (1 - keep);
 }
 
@@ -396,6 +403,7 @@
         ledger_.add_claim({claim, rent.market.shape, rent.market.region, rent.market.spot,
                            std::min<std::uint64_t>(rent.count, kMostRented)});
     }
+    if (port_.now() < no_return_before_) return;
     for (const auto i : result.give_back) remove(*machines[i], "idle");
 }
 
--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -43,7 +43,7 @@
     void list();
     void list_page(std::string from, std::uint64_t generation);
     void apply_row(const wire::Rental& row);
-    void apply_missing(Instant asked);
+    void apply_missing();
     void check_machine(core::Machine& machine);
     void remove(core::Machine& machine, const char* why);
     void send_deletes();
@@ -67,7 +67,6 @@
 
     bool listing_ = false;
     Instant next_list_{};
-    Instant list_asked_{};
     std::set<HostName> list_seen_;
     bool deleting_ = false;
     Instant next_delete_{};
@@ -77,6 +76,7 @@
     std::uint64_t claim_count_ = 0;
     Instant next_resize_{};
     Instant last_load_{};
+    Instant no_return_before_{};
     double load_cores_ = 0;
     std::map<std::string, double> class_ratio_;  // run time over the owner's estimate
 };
