--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -22,6 +22,7 @@
 constexpr Millis kMostRefused{60000};
 constexpr Millis kUnheardMargin{3000};
 constexpr Millis kUnheardIdle{15000};
+constexpr int kMissedReports = 7;
 constexpr Millis kStuckMargin{20000};
 constexpr Millis kSaveMargin{3000};     // for the command to arrive, and a notice that was too long
 constexpr Millis kObserveFirst{60000};  // a new leader returns no idle machines before
@@ -169,6 +170,14 @@
               m.shape, m.tasks.size(), why);
 }
 
+// How long a silent machine with tasks is waited for. A short cut ends by itself and its tasks have
+// run on meanwhile; after some missed reports it is quicker to delete the machine, which proves the
+// tasks gone, than to wait for a long lease to end.
+Millis Fleet::patience() const {
+    return std::min(config_.lease + kUnheardMargin,
+                    std::max(config_.report * kMissedReports, config_.lease * 6 / 10));
+}
+
 // A deletion that is answered with 200 proves that the machine and its tasks are gone; so it is
 // also the way out where nothing else can prove it.
 void Fleet::check_machine(Machine& m) {
@@ -180,7 +189,7 @@
         // A new leader hears of machines only from its own term's start on.
         const auto known = now - m.known_since;
         if (!m.tasks.empty()) {
-            if (known > config_.lease + kUnheardMargin) remove(m, "unheard");
+            if (known > patience()) remove(m, "unheard");
         } else if (m.was_up) {
             if (known > kUnheardIdle) remove(m, "unheard");
         } else if (m.missing_lists >= 2 && known > config_.list_lag * 3 + kUnheardMargin) {
@@ -198,7 +207,7 @@
         remove(m, "taken");
     } else if (m.listed && m.missing_lists >= 2 && workers_.silent(m, short_silence)) {
         remove(m, "unlisted");
-    } else if (workers_.silent(m, config_.lease + Millis(2000))) {
+    } else if (workers_.silent(m, m.tasks.empty() ? config_.lease : patience())) {
         remove(m, "silent");
     } else if (m.draining && m.tasks.empty() && ledger_.committed() == ledger_.version()) {
         remove(m, "drained");
--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -45,6 +45,7 @@
     void apply_row(const wire::Rental& row);
     void apply_missing();
     void check_machine(core::Machine& machine);
+    Millis patience() const;
     void save_tasks(core::Machine& machine);
     void remove(core::Machine& machine, const char* why);
     void send_deletes();
