--- a/src/fleet/sizing.cpp
+++ b/src/fleet/sizing.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr double kOrdinaryBoots = 1.5;
+constexpr double kOrdinaryIdle = 0.4;  // share of the idle time that dear machines get
 constexpr double kSparePenalty = 0.3;
 constexpr double kCrowdPenalty = 0.02;
 
@@ -18,6 +19,13 @@
             std::find(d.shapes.begin(), d.shapes.end(), t.name) != d.shapes.end());
 }
 
+double rate_per_core(const SizingInput& in, const Market& m) {
+    for (const auto& t : in.types) {
+        if (t.name == m.shape && t.cores > 0) return (m.spot ? t.low_price : t.rate) / t.cores;
+    }
+    return 0;
+}
+
 struct Counts {
     double cores = 0;
     std::map<std::string, std::size_t> by_region;
@@ -132,10 +140,15 @@
 
     std::vector<std::size_t> idle;
     for (std::size_t i = 0; i < in.machines.size(); ++i) {
-        if (in.machines[i].available && in.machines[i].idle_s > in.idle_return_s) idle.push_back(i);
+        const auto& m = in.machines[i];
+        const double wait = in.idle_return_s * (m.market.spot ? 1.0 : kOrdinaryIdle);
+        if (m.available && m.idle_s > wait) idle.push_back(i);
     }
+    // The dearest core goes first.
+    const auto rate = [&](std::size_t i) { return rate_per_core(in, in.machines[i].market); };
     std::sort(idle.begin(), idle.end(), [&](std::size_t a, std::size_t b) {
-        return in.machines[a].idle_s > in.machines[b].idle_s;
+        return std::pair(rate(a), in.machines[a].idle_s) >
+               std::pair(rate(b), in.machines[b].idle_s);
     });
     for (const auto i : idle) {
         if (counts.cores - in.machines[i].cores < out.target_cores) continue;
--- a/tests/sim/cloud_stand_in.cpp
+++ b/tests/sim/cloud_stand_in.cpp
@@ -80,7 +80,10 @@
 }
 
 HttpReply CloudStandIn::remove(const std::string& body) {
-    for (const auto& host : wire::decode_hosts(wire::Document::parse(body)->root())) take(host);
+    for (const auto& host : wire::decode_hosts(wire::Document::parse(body)->root())) {
+        events_.returned(host);
+        take(host);
+    }
     return {200, {}};
 }
 
--- a/tests/sim/cloud_stand_in.hpp
+++ b/tests/sim/cloud_stand_in.hpp
@@ -25,6 +25,7 @@
     struct Events {
         std::function<void(const wire::Rental&)> up;
         std::function<void(const HostName&)> gone;
+        std::function<void(const HostName&)> returned;  // by the service, just before it is gone
     };
 
     CloudStandIn(Clock& clock, std::vector<wire::MachineType> types, std::size_t most_machines,
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -56,6 +56,12 @@
               [this](const HostName& host) {
                   const auto it = workers_.find(host);
                   if (it != workers_.end()) it->second->stop();
+              },
+              [this](const HostName& host) {
+                  const auto it = workers_.find(host);
+                  if (it != workers_.end() && !it->second->present().empty()) {
+                      ++returned_with_tasks_;
+                  }
               }}) {
     nodes_.resize(3);
     troubles_end_ = clock_.now() + from_seconds(options.troubles_s);
@@ -582,16 +588,30 @@
     return out;
 }
 
+void World::step_once(Instant limit) {
+    clock_.step(limit);
+    check();
+    if (clock_.now() < next_ledger_check_) return;
+    check_ledger();
+    next_ledger_check_ = clock_.now() + Millis(50);
+}
+
+void World::run_for(Millis span) {
+    const auto end = clock_.now() + span;
+    while (clock_.now() < end && broken_.empty()) step_once(end);
+}
+
+void World::crash_leader() {
+    for (std::size_t i = 0; i < nodes_.size(); ++i) {
+        if (nodes_[i].core && nodes_[i].core->leads()) crash(i, Millis(4000));
+    }
+}
+
 void World::run() {
     const auto limit = troubles_end_ + Millis(400000);
     Instant quiet_until = Instant::max();
     while (clock_.now() < std::min(limit, quiet_until) && broken_.empty()) {
-        clock_.step(limit);
-        check();
-        if (clock_.now() >= next_ledger_check_) {
-            check_ledger();
-            next_ledger_check_ = clock_.now() + Millis(50);
-        }
+        step_once(limit);
         // Some time after the last end, so that late messages are seen to do no harm.
         if (quiet_until == Instant::max() && clock_.now() > troubles_end_ && jobs_left() == 0) {
             quiet_until = clock_.now() + Millis(45000);
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -33,6 +33,11 @@
 
     // Runs the troubles, then quiet until every job is over or the limit is reached.
     void run();
+    // Parts of a day, for scenarios of a test's own.
+    void run_for(Millis span);
+    void crash_leader();
+    // Machines that the service returned while tasks were on them.
+    std::size_t returned_with_tasks() const { return returned_with_tasks_; }
     const std::vector<std::string>& broken_rules() const { return broken_; }
     std::size_t jobs_left() const;
     std::size_t tasks_started() const { return starts_; }
@@ -97,6 +102,7 @@
 
     void plan_fault();
     void fault();
+    void step_once(Instant limit);
     void check();
     void check_ledger();
     void broken(const std::string& rule, const std::string& detail);
@@ -116,6 +122,7 @@
     std::uint64_t incarnations_ = 0;
     std::size_t starts_ = 0;
     std::size_t terms_ = 0;
+    std::size_t returned_with_tasks_ = 0;
     double lost_answers_ = 0;
     Instant troubles_end_{};
     Instant commands_held_until_{};
--- a/tests/simulation_test.cpp
+++ b/tests/simulation_test.cpp
@@ -28,6 +28,20 @@
     EXPECT_EQ(world.terms(), 1u);
 }
 
+// docs/incidents/0001: a new leader took machines it had not heard from yet for lost ones.
+TEST(Simulation, LeaderChangeKeepsTheFleet) {
+    Options options;
+    options.fault_every_s = 0;
+    World world(options);
+    for (int i = 0; i < 3; ++i) {
+        world.run_for(Millis(60000));
+        world.crash_leader();
+    }
+    expect_good(world);
+    EXPECT_EQ(world.terms(), 4u);
+    EXPECT_EQ(world.returned_with_tasks(), 0u);
+}
+
 class Troubles : public testing::TestWithParam<std::uint64_t> {};
 
 TEST_P(Troubles, RulesHoldAndJobsEnd) {
