Relayed check-ins, a deaf leader resigns, many silent machines at once are not deleted

Cause: a leader cut off from the workers alone kept its key, heard nobody and would have deleted every machine after a lease; a worker across a cut from the leader lost its tasks though another node reached both. A node to which a redirected worker returns now hands its check-in to the leader and the leader's answer back. Stale check-ins get no orders.

--- a/src/cluster/election.cpp
+++ b/src/cluster/election.cpp
@@ -37,7 +37,7 @@
     } else if (!watching_) {
         watch();
     }
-    const bool vacant = observed_ && seen_rev_ == KeyRev() && !leader_;
+    const bool vacant = observed_ && seen_rev_ == KeyRev() && !leader_ && now >= aside_until_;
     if (!campaigning_ && (renew_term_ || (vacant && eligible_))) {
         if (now >= next_campaign_) {
             campaign();
@@ -106,6 +106,7 @@
         return;
     }
     if (rev == lead_rev_) {
+        if (port_.now() < aside_until_) return;  // it resigned; the key goes with its lease
         // Left while the key still stood: something sent under this revision may still be under
         // way, so this term must not be taken up again.
         renew_term_ = true;
@@ -220,6 +221,19 @@
     next_read_ = port_.now();
 }
 
+void Election::resign(Millis aside) {
+    if (!leader_) return;
+    const auto key = guard();
+    step_down("it resigns");
+    aside_until_ = port_.now() + aside;
+    // Only speeds things up: without it the key goes when its lease ends.
+    store_.multi({key}, {{kLeadKey, std::nullopt, std::nullopt}}, Millis(1500),
+                 [this](const state::MultiResult&) {
+                     observed_ = false;
+                     next_read_ = port_.now();
+                 });
+}
+
 void Election::renew_term() {
     if (!leader_) return;
     step_down("a transaction's outcome is not known");
--- a/src/cluster/election.hpp
+++ b/src/cluster/election.hpp
@@ -38,6 +38,8 @@
     // The outcome of a ledger transaction is not known: take a new term over one's own key, so
     // that the transaction can no longer be applied if it has not been.
     void renew_term();
+    // Gives the leadership up and does not stand for a while, so that another node can lead.
+    void resign(Millis aside);
     // Whether this node may stand; a node that the state service serves badly should not.
     void set_eligible(bool eligible) { eligible_ = eligible; }
 
@@ -84,6 +86,7 @@
     Instant next_read_{};
     Instant next_campaign_{};
     Instant next_renewal_{};
+    Instant aside_until_{};
 };
 
 }  // namespace dunebridge::cluster
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -9,6 +9,10 @@
 namespace {
 constexpr Millis kTick{100};
 constexpr Millis kScheduleEvery{40};
+constexpr Millis kRelayFor{30000};
+constexpr Millis kRelayTimeout{2500};
+constexpr int kDeafReports = 5;
+constexpr Millis kStandAside{20000};
 }  // namespace
 
 Core::Core(const Config& config, std::uint64_t seed, LogLevel level)
@@ -43,6 +47,9 @@
     election_.tick();
     follow_leadership();
     fleet_.tick_types();
+    if (leads()) {
+        resign_if_deaf();
+    }
     if (leads()) {
         fleet_.tick();
         schedule();
@@ -121,6 +128,10 @@
 }
 
 void Core::handle_back(const Request& request) {
+    if (request.method == "POST" && request.target == "/checkin") {
+        handle_checkin(request);
+        return;
+    }
     if (request.method != "POST" || request.target != "/hello") {
         port_.answer(request.id, 404, wire::encode_error("no such path"));
         return;
@@ -137,33 +148,83 @@
 }
 
 void Core::handle_checkin(const Request& request) {
-    if (!leads()) {
-        redirect(request.id);
+    if (!leads() && request.plane == Plane::back) {
+        port_.answer(request.id, 503, wire::encode_error("not the leader"), 1);
         return;
     }
     try {
         const auto doc = wire::Document::parse(request.body);
         if (!doc) throw wire::DecodeError("not MessagePack");
-        workers_.checkin(request.id, wire::decode_report(doc->root()));
+        if (leads()) {
+            workers_.checkin(request.id, wire::decode_report(doc->root()));
+            return;
+        }
+        const auto leader = known_leader();
+        if (!leader.get().empty() && relay_due(HostName(doc->root()["host"].need_text("host")))) {
+            relay(request, leader);
+        } else {
+            redirect(request.id);
+        }
     } catch (const wire::DecodeError& e) {
         port_.answer(request.id, 400, wire::encode_error(e.what()));
     }
 }
 
+// The leader to send workers to; never this node, and empty if none is known.
+NodeName Core::known_leader() const {
+    auto leader = peers_.leader();
+    if (leader.get().empty() && store_.reachable()) leader = election_.seen_leader();
+    return leader == config_.name ? NodeName() : leader;
+}
+
 void Core::redirect(RequestId id) {
+    const auto leader = known_leader();
     if (election_.is_leader()) {  // its ledger is still being read
         port_.answer(id, 503, wire::encode_error("starting"), 1);
-        return;
-    }
-    auto leader = peers_.leader();
-    if (leader.get().empty() && store_.reachable()) leader = election_.seen_leader();
-    if (leader.get().empty() || leader == config_.name) {
+    } else if (leader.get().empty()) {
         port_.answer(id, 503, wire::encode_error("no leader"), 1);
     } else {
         port_.answer(id, 421, wire::encode_redirect(leader.get()));
     }
 }
 
+// A worker that comes back soon after it was sent to the leader cannot reach the leader: the two
+// may be on either side of a cut that this node is not behind. Now and then it is sent again.
+bool Core::relay_due(const HostName& host) {
+    std::erase_if(redirected_, [&](const auto& r) { return port_.now() - r.second > kRelayFor; });
+    return !redirected_.try_emplace(host, port_.now()).second;
+}
+
+// The leader's own answer, with its epoch, is handed on: this node says nothing of its own.
+void Core::relay(const Request& request, const NodeName& leader) {
+    const auto node = std::find_if(config_.known.begin(), config_.known.end(),
+                                   [&](const auto& k) { return k.name == leader; });
+    if (node == config_.known.end()) {
+        redirect(request.id);
+        return;
+    }
+    port_.call(Service::peer, node->back, "POST", "/checkin", request.body, kRelayTimeout,
+               [this, id = request.id](const HttpReply& reply) {
+                   if (reply.status == 200) {
+                       port_.answer(id, 200, reply.body);
+                   } else {
+                       port_.answer(id, 503, wire::encode_error("leader not reached"), 1);
+                   }
+               });
+}
+
+// A leader that no worker reaches, directly or through its peers, is of no use: another may be.
+void Core::resign_if_deaf() {
+    // Having heard none in this term at all is no sign: all of them may be gone.
+    Instant heard{};
+    for (const auto& [host, m] : ledger_.machines()) {
+        if (!m.deleting) heard = std::max(heard, m.last_report);
+    }
+    if (heard == Instant{} || port_.now() - heard < config_.report * kDeafReports) return;
+    port_.log(LogLevel::info, "event=deaf term={}", election_.term().get());
+    election_.resign(kStandAside);
+}
+
 void Core::handle_ready(const Request& request) {
     ready() ? port_.answer(request.id, 200, wire::Writer().map(0).take())
             : port_.answer(request.id, 503, wire::encode_error("not ready"), 1);
--- a/src/core/core.hpp
+++ b/src/core/core.hpp
@@ -57,6 +57,10 @@
     void handle_ready(const Request& request);
     bool ready() const;
     void redirect(RequestId id);
+    NodeName known_leader() const;
+    bool relay_due(const HostName& host);
+    void relay(const Request& request, const NodeName& leader);
+    void resign_if_deaf();
     void follow_leadership();
     void schedule();
     cluster::Hello hello();
@@ -74,6 +78,7 @@
     std::uint64_t generation_ = 0;
     bool led_ = false;
     Instant next_schedule_{};
+    std::map<HostName, Instant> redirected_;
     Version scheduled_version_ = 0;
 };
 
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -23,6 +23,7 @@
 constexpr Millis kUnheardMargin{3000};
 constexpr Millis kUnheardIdle{15000};
 constexpr int kMissedReports = 7;
+constexpr std::size_t kManySilent = 3;
 constexpr Millis kStuckMargin{20000};
 constexpr Millis kSaveMargin{3000};     // for the command to arrive, and a notice that was too long
 constexpr Millis kObserveFirst{60000};  // a new leader returns no idle machines before
@@ -170,6 +171,17 @@
               m.shape, m.tasks.size(), why);
 }
 
+void Fleet::count_silent() {
+    std::size_t up = 0;
+    std::size_t silent = 0;
+    for (const auto& [host, m] : ledger_.machines()) {
+        if (!m.was_up || m.deleting) continue;
+        ++up;
+        if (workers_.silent(m, config_.report * 2 + Millis(500))) ++silent;
+    }
+    many_silent_ = silent >= kManySilent && silent * 2 > up;
+}
+
 // How long a silent machine with tasks is waited for. A short cut ends by itself and its tasks have
 // run on meanwhile; after some missed reports it is quicker to delete the machine, which proves the
 // tasks gone, than to wait for a long lease to end.
@@ -189,7 +201,11 @@
         // A new leader hears of machines only from its own term's start on.
         const auto known = now - m.known_since;
         if (!m.tasks.empty()) {
-            if (known > patience()) remove(m, "unheard");
+            if (m.missing_lists >= 2 && known > patience()) {
+                remove(m, "unlisted");
+            } else if (known > (many_silent_ ? config_.lease * 2 : patience())) {
+                remove(m, "unheard");
+            }
         } else if (m.was_up) {
             if (known > kUnheardIdle) remove(m, "unheard");
         } else if (m.missing_lists >= 2 && known > config_.list_lag * 3 + kUnheardMargin) {
@@ -207,6 +223,8 @@
         remove(m, "taken");
     } else if (m.listed && m.missing_lists >= 2 && workers_.silent(m, short_silence)) {
         remove(m, "unlisted");
+    } else if (many_silent_ && !workers_.silent(m, config_.lease * 2)) {
+        // More likely this node's own trouble than that of so many machines at once.
     } else if (workers_.silent(m, m.tasks.empty() ? config_.lease : patience())) {
         remove(m, "silent");
     } else if (m.draining && m.tasks.empty() && ledger_.committed() == ledger_.version()) {
@@ -433,6 +451,7 @@
 void Fleet::tick() {
     const auto now = port_.now();
     if (!listing_ && now >= next_list_ && take_call()) list();
+    count_silent();
     for (auto& [host, m] : ledger_.machines()) check_machine(m);
     if (now >= next_resize_) {
         next_resize_ = now + kResizeEvery;
--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -45,6 +45,7 @@
     void apply_row(const wire::Rental& row);
     void apply_missing();
     void check_machine(core::Machine& machine);
+    void count_silent();
     Millis patience() const;
     void save_tasks(core::Machine& machine);
     void remove(core::Machine& machine, const char* why);
@@ -76,6 +77,7 @@
     std::map<std::string, Instant> claim_after_;
     std::map<Market, Refused> refused_;
     std::uint64_t claim_count_ = 0;
+    bool many_silent_ = false;
     Instant next_resize_{};
     Instant last_load_{};
     Instant no_return_before_{};
--- a/src/workers/workers.cpp
+++ b/src/workers/workers.cpp
@@ -86,7 +86,9 @@
         return;
     }
     machine->last_reply = port_.now();
-    auto out = orders(*machine, false);
+    // The worker has given up on a report that newer ones overtook: it will not read the answer.
+    std::vector<Order> out;
+    if (machine->last == report.order) out = orders(*machine, false);
     port_.answer(id, 200, wire::encode_checkin_reply(epoch(*machine), out));
 }
 
