--- a/src/fleet/sizing.cpp
+++ b/src/fleet/sizing.cpp
@@ -10,6 +10,7 @@
 
 constexpr double kOrdinaryBoots = 1.5;
 constexpr double kOrdinaryIdle = 0.4;  // share of the idle time that dear machines get
+constexpr double kUsefulLife_s = 150;  // boot time is paid for; this much use follows it
 constexpr double kSparePenalty = 0.3;
 constexpr double kCrowdPenalty = 0.02;
 
@@ -68,7 +69,8 @@
                 const auto it = counts.by_region.find(region);
                 const double crowd = it == counts.by_region.end() ? 0 : double(it->second);
                 const double cost = (spot ? t.low_price : t.rate) / t.cores *
-                                    (1 + kSparePenalty * spare) * (1 + kCrowdPenalty * crowd);
+                                    (1 + kSparePenalty * spare) *
+                                    (1 + t.startup_s / kUsefulLife_s) * (1 + kCrowdPenalty * crowd);
                 if (cost >= best_cost) continue;
                 best_cost = cost;
                 best = &t;
