--- a/src/fleet/sizing.hpp
+++ b/src/fleet/sizing.hpp
@@ -51,7 +51,7 @@
     double load_cores = 0;  // lately observed average of cores in use and asked for
     double headroom = 1.25;
     double boot_s = 30;     // a backlog that is worked off sooner needs no new machine
-    double horizon_s = 60;  // within which the backlog should be worked off
+    double horizon_s = 40;  // within which the backlog should be worked off
     double idle_return_s = 60;
 };
 
