--- a/src/cluster/election.cpp
+++ b/src/cluster/election.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 constexpr Millis kRetry{300};
-constexpr Millis kWatchWait{20000};
+constexpr Millis kWatchWait{8000};
 }  // namespace
 
 Election::Election(core::Port& port, state::Store& store, const core::Config& config)
--- a/src/cluster/election.hpp
+++ b/src/cluster/election.hpp
@@ -31,7 +31,6 @@
     wire::Guard guard() const { return {kLeadKey, lead_rev_}; }
     // The leader as last seen in the state service, empty if none.
     const NodeName& seen_leader() const { return seen_leader_; }
-    Term seen_term() const { return seen_term_; }
 
     // Another node is known to lead with a later term.
     void depose(Term newer);
--- a/src/core/core.hpp
+++ b/src/core/core.hpp
@@ -79,7 +79,6 @@
     bool led_ = false;
     Instant next_schedule_{};
     std::map<HostName, Instant> redirected_;
-    Version scheduled_version_ = 0;
 };
 
 }  // namespace dunebridge::core
--- a/src/core/ledger.cpp
+++ b/src/core/ledger.cpp
@@ -20,7 +20,7 @@
 constexpr Millis kCommitEvery{30};
 constexpr Millis kCommitRetry{120};
 constexpr Millis kCommitTimeout{2500};
-constexpr Millis kWatchWait{25000};
+constexpr Millis kWatchWait{8000};
 constexpr Millis kWatchRetry{300};
 constexpr Millis kWatchPause{20};
 // The protocol's limit of 64 KiB counts JSON, which is larger than what is packed here.
@@ -331,7 +331,8 @@
     if (index >= job.tasks.size() || job.tasks[index].done || job.state != JobState::open) return;
     job.tasks[index].done = true;
     ++job.done;
-    std::erase(job.waiting, index);
+    // Seldom: most tasks are placed when they are done, and the list may be long.
+    if (job.tasks[index].placements == 0) std::erase(job.waiting, index);
     mark_progress(job, index);
     if (job.done == job.spec.shards) {
         job.state = JobState::ending;
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -289,7 +289,7 @@
             continue;
         }
         if (!take_call()) return;
-        claims_in_flight_.emplace(claim, port_.now());
+        claims_in_flight_.insert(claim);
         port_.call(Service::cloud, {}, "POST", "/rentals", wire::encode(request), kCloudTimeout,
                    [this, request, generation = election_.generation()](const HttpReply& reply) {
                        if (current(generation)) claim_done(request, reply);
--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -73,7 +73,7 @@
     std::set<HostName> list_seen_;
     bool deleting_ = false;
     Instant next_delete_{};
-    std::map<std::string, Instant> claims_in_flight_;
+    std::set<std::string> claims_in_flight_;
     std::map<std::string, Instant> claim_after_;
     std::map<Market, Refused> refused_;
     std::uint64_t claim_count_ = 0;
--- a/src/fleet/sizing.cpp
+++ b/src/fleet/sizing.cpp
@@ -30,7 +30,6 @@
 struct Counts {
     double cores = 0;
     std::map<std::string, std::size_t> by_region;
-    std::map<Market, std::size_t> by_market;
 };
 
 Counts count(const SizingInput& in) {
@@ -40,7 +39,6 @@
     const auto add = [&](const Market& m, double cores, std::size_t n) {
         c.cores += cores * static_cast<double>(n);
         c.by_region[m.region] += n;
-        c.by_market[m] += n;
     };
     for (const auto& m : in.machines) {
         if (m.available) add(m.market, m.cores, 1);
@@ -84,7 +82,6 @@
 void add_rent(SizingPlan& plan, Counts& counts, const Market& market, double cores) {
     counts.cores += cores;
     ++counts.by_region[market.region];
-    ++counts.by_market[market];
     for (auto& r : plan.rent) {
         if (r.market == market) {
             ++r.count;
--- a/src/state/store.cpp
+++ b/src/state/store.cpp
@@ -9,6 +9,9 @@
 using wire::Document;
 
 namespace {
+// A watch whose answer was lost is asked again soon after it should have ended: cancellations and
+// submissions are learnt from watches.
+constexpr Millis kWatchSlack{2000};
 constexpr Millis kProbeAfter{800};
 constexpr Millis kProbeTimeout{700};
 }  // namespace
@@ -157,7 +160,7 @@
     const auto target = "/watch?starts=" + prefix + "&from=" + std::to_string(from.get()) +
                         "&wait_ms=" + std::to_string(wait.count());
     // Open watches stay open during an outage, so a late answer says nothing about reachability.
-    port_.call(Service::state, {}, "GET", target, {}, wait + Millis(5000),
+    port_.call(Service::state, {}, "GET", target, {}, wait + kWatchSlack,
                [then = std::move(then)](const HttpReply& reply) {
                    WatchResult result;
                    if (reply.status == 410) result.kind = WatchResult::Kind::too_old;
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -91,7 +91,6 @@
     node.queue.clear();
     node.waiting.clear();
     node.step_planned = false;
-    node.wake_planned = Instant::max();
     step(i);
 }
 
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -51,7 +51,6 @@
         std::uint64_t incarnation = 0;
         std::vector<core::Command> queue;
         bool step_planned = false;
-        Instant wake_planned = Instant::max();
         Cut from_state = Cut::none;
         Cut from_workers = Cut::none;
         Cut from_nodes = Cut::none;
