--- a/src/api/jobs.cpp
+++ b/src/api/jobs.cpp
@@ -85,9 +85,8 @@
 
 // Why a job can never run, empty if it can.
 std::string Jobs::refusal(const wire::JobSpec& job) const {
-    const auto team = std::find_if(config_.teams.begin(), config_.teams.end(),
-                                   [&](const auto& t) { return t.name == job.owner; });
-    if (team == config_.teams.end()) return "unknown team";
+    const auto* team = config_.find_team(job.owner);
+    if (!team) return "unknown team";
     if (team->cpus_max > 0 && job.cores > team->cpus_max) return "over the team's limit";
     if (team->gpus_max > 0 && job.accelerators > team->gpus_max) return "over the team's limit";
     const bool fits = std::any_of(types_.begin(), types_.end(), [&](const auto& t) {
--- a/src/core/config.hpp
+++ b/src/core/config.hpp
@@ -1,6 +1,7 @@
 // Everything the core is configured with.
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 #include <string>
 #include <vector>
@@ -71,6 +72,13 @@
     std::size_t fd_limit = 1024;
 
     Tuning tuning;
+
+    // The team of that name, or null.
+    const Team* find_team(const std::string& team) const {
+        const auto it =
+            std::find_if(teams.begin(), teams.end(), [&](const Team& t) { return t.name == team; });
+        return it == teams.end() ? nullptr : &*it;
+    }
 };
 
 }  // namespace dunebridge::core
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -47,9 +47,7 @@
     election_.tick();
     follow_leadership();
     fleet_.tick_types();
-    if (leads()) {
-        resign_if_deaf();
-    }
+    if (leads()) resign_if_deaf();
     if (leads()) {
         fleet_.tick();
         schedule();
--- a/src/core/ledger.cpp
+++ b/src/core/ledger.cpp
@@ -29,6 +29,10 @@
 constexpr double kWriteShare = 0.6;
 constexpr int kAttemptBits = 28;
 
+std::string after(const std::string& key, std::string_view prefix) {
+    return key.substr(prefix.size());
+}
+
 std::string chunk_key(const JobId& id, std::uint32_t chunk) {
     return kProgress + id.get() + "/" + std::to_string(chunk);
 }
@@ -166,7 +170,7 @@
     for (const auto& row : result.rows) {
         stored_.insert(row.key);
         const auto v = row.value;
-        const HostName host(row.key.substr(std::string_view(kMachines).size()));
+        const HostName host(after(row.key, kMachines));
         auto& machine = add_machine(host, std::string(v["endpoint"].text().value_or("")),
                                     std::string(v["shape"].text().value_or("")),
                                     std::string(v["region"].text().value_or("")),
@@ -243,7 +247,7 @@
                 return;
             }
             for (const auto& key : result.failed) {
-                const JobId id(key.substr(std::string_view(kEnds).size()));
+                const JobId id(after(key, kEnds));
                 withdraw(id, port_.wall_ms());
                 std::erase(ids, id);
             }
@@ -280,7 +284,7 @@
                       e.what());
         }
     } else if (change.key.starts_with(kEnds)) {
-        withdraw(JobId(change.key.substr(std::string_view(kEnds).size())),
+        withdraw(JobId(after(change.key, kEnds)),
                  static_cast<std::int64_t>(change.value["at"].count().value_or(0)));
     }
 }
@@ -548,7 +552,7 @@
 bool Ledger::guard_placements(const std::string& key, std::vector<wire::Guard>& guards,
                               std::set<std::string>& guarded, std::size_t room) const {
     if (!key.starts_with(kMachines)) return true;
-    const auto it = machines_.find(HostName(key.substr(std::string_view(kMachines).size())));
+    const auto it = machines_.find(HostName(after(key, kMachines)));
     if (it == machines_.end()) return true;
     for (const auto& [k, p] : it->second.tasks) {
         if (p.committed) continue;
@@ -599,7 +603,7 @@
     }
     for (const auto& [key, set] : commit.keys) {
         if (!key.starts_with(kMachines)) continue;
-        auto* machine = find_machine(HostName(key.substr(std::string_view(kMachines).size())));
+        auto* machine = find_machine(HostName(after(key, kMachines)));
         if (!machine) continue;
         for (auto& [k, p] : machine->tasks) p.in_commit = !p.committed;
     }
@@ -644,12 +648,12 @@
             }
         }
         if (key.starts_with(kEnds)) {
-            end_committed(JobId(key.substr(std::string_view(kEnds).size())));
+            end_committed(JobId(after(key, kEnds)));
             continue;
         }
         set ? (void)stored_.insert(key) : (void)stored_.erase(key);
         if (!key.starts_with(kMachines)) continue;
-        auto* machine = find_machine(HostName(key.substr(std::string_view(kMachines).size())));
+        auto* machine = find_machine(HostName(after(key, kMachines)));
         if (!machine) continue;
         for (auto& [k, p] : machine->tasks) {
             if (!p.in_commit) continue;
@@ -674,7 +678,7 @@
         if (!key.starts_with(kEnds)) continue;
         // The user's cancellation came first.
         explained = true;
-        withdraw(JobId(key.substr(std::string_view(kEnds).size())), port_.wall_ms());
+        withdraw(JobId(after(key, kEnds)), port_.wall_ms());
     }
     if (explained) return;
     // The leader key has changed. Standing again over the old revision fails if another leads.
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -177,7 +177,7 @@
     for (const auto& [host, m] : ledger_.machines()) {
         if (!m.was_up || m.deleting) continue;
         ++up;
-        if (workers_.silent(m, config_.report * 2 + Millis(500))) ++silent;
+        if (workers_.late(m)) ++silent;
     }
     many_silent_ = silent >= kManySilent && silent * 2 > up;
 }
--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -69,9 +69,8 @@
     std::map<std::string, core::TeamUse> sums;
     std::map<const Job*, bool> within;
     for (const auto* job : open) {
-        const auto team = std::find_if(config_.teams.begin(), config_.teams.end(),
-                                       [&](const auto& t) { return t.name == job->spec.owner; });
-        if (team == config_.teams.end()) continue;
+        const auto* team = config_.find_team(job->spec.owner);
+        if (!team) continue;
         auto& sum = sums[job->spec.owner];
         const double tasks = job->spec.shards - job->done;
         sum.cpus += tasks * job->spec.cores;
@@ -139,9 +138,8 @@
 }
 
 std::size_t Scheduler::quota_left(const Job& job) const {
-    const auto team = std::find_if(config_.teams.begin(), config_.teams.end(),
-                                   [&](const auto& t) { return t.name == job.spec.owner; });
-    if (team == config_.teams.end()) return 0;
+    const auto* team = config_.find_team(job.spec.owner);
+    if (!team) return 0;
     const auto& use = ledger_.use(job.spec.owner);
     std::size_t left = job.waiting.size();
     const auto limit = [&](double most, double used, double each) {
--- a/src/workers/workers.cpp
+++ b/src/workers/workers.cpp
@@ -28,6 +28,7 @@
 constexpr std::size_t kJobsToCondemn = 2;
 constexpr double kDrift = 1.002;
 constexpr Millis kLeaseMargin{500};
+constexpr Millis kLateMargin{500};
 constexpr Millis kRememberDeleted{900000};
 }  // namespace
 
@@ -49,9 +50,11 @@
     return port_.now() - (m.reported ? m.last_report : m.known_since) > limit;
 }
 
+bool Workers::late(const Machine& m) const { return silent(m, config_.report * 2 + kLateMargin); }
+
 bool Workers::usable(const Machine& m) const {
     return m.reported && !m.draining && !m.deleting && !m.failed && !m.taken_at &&
-           port_.now() >= m.refused_until && !silent(m, config_.report * 2 + Millis(500));
+           port_.now() >= m.refused_until && !late(m);
 }
 
 void Workers::deleted(const HostName& host) {
--- a/src/workers/workers.hpp
+++ b/src/workers/workers.hpp
@@ -41,6 +41,8 @@
     // A machine that can be given work now.
     bool usable(const core::Machine& machine) const;
     bool silent(const core::Machine& machine, Millis limit) const;
+    // Two reports have not come.
+    bool late(const core::Machine& machine) const;
     void halt(core::Machine& machine, core::Placement& placement, double drain_s);
     // The cloud has taken the machine away at the service's wish: late reports must not revive it.
     void deleted(const HostName& host);
