--- a/src/api/jobs.cpp
+++ b/src/api/jobs.cpp
@@ -90,15 +90,11 @@
     if (team->cpus_max > 0 && job.cores > team->cpus_max) return "over the team's limit";
     if (team->gpus_max > 0 && job.accelerators > team->gpus_max) return "over the team's limit";
     const bool fits = std::any_of(types_.begin(), types_.end(), [&](const auto& t) {
-        if (job.shapes &&
-            std::find(job.shapes->begin(), job.shapes->end(), t.name) == job.shapes->end()) {
-            return false;
-        }
         if (job.region &&
             std::find(t.regions.begin(), t.regions.end(), *job.region) == t.regions.end()) {
             return false;
         }
-        return t.cores >= job.cores && t.accelerators >= job.accelerators && t.ram_gb >= job.ram_gb;
+        return wire::can_hold(t, {job.cores, job.accelerators, job.ram_gb}, job.shapes);
     });
     return fits ? "" : "fits no allowed machine type";
 }
--- a/src/cluster/election.cpp
+++ b/src/cluster/election.cpp
@@ -221,6 +221,13 @@
     next_read_ = port_.now();
 }
 
+void Election::step_back() {
+    if (!leader_) return;
+    step_down("it is isolated");
+    observed_ = false;
+    next_read_ = port_.now();
+}
+
 void Election::resign(Millis aside) {
     if (!leader_) return;
     const auto key = guard();
--- a/src/cluster/peers.cpp
+++ b/src/cluster/peers.cpp
@@ -84,7 +84,7 @@
     if (peer.known && hello.term < peer.hello.term) return;
     peer.hello = hello;
     peer.known = true;
-    peer.heard = port_.now();
+    peer.heard = last_heard_ = port_.now();
     highest_term_ = std::max(highest_term_, hello.term);
     if (!hello.leads || hello.term < highest_term_) return;
     progress_.clear();
--- a/src/cluster/peers.hpp
+++ b/src/cluster/peers.hpp
@@ -44,6 +44,8 @@
 
     // The peer that leads as far as this node has heard lately, empty if none.
     NodeName leader() const;
+    // When any peer was last heard.
+    Instant last_heard() const { return last_heard_; }
     Term highest_term() const { return highest_term_; }
     // Some peer heard lately reaches the state service.
     bool state_reachable_elsewhere() const;
@@ -65,6 +67,7 @@
     std::unordered_map<NodeName, Peer> peers_;
     std::unordered_map<JobId, Progress> progress_;
     Term highest_term_;
+    Instant last_heard_{};
     Instant next_{};
 };
 
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -2,17 +2,18 @@
 
 #include <algorithm>
 
-#include "scheduler/scheduler.hpp"
-
 namespace dunebridge::core {
 
 namespace {
 constexpr Millis kTick{100};
-constexpr Millis kScheduleEvery{40};
+constexpr Millis kScheduleEvery{50};
+constexpr Millis kUpkeepEvery{250};
+constexpr Millis kForgetEvery{5000};
 constexpr Millis kRelayFor{30000};
 constexpr Millis kRelayTimeout{2500};
 constexpr int kDeafReports = 5;
 constexpr Millis kStandAside{20000};
+constexpr int kIsolatedPart = 35;  // percent of a worker's lease
 }  // namespace
 
 Core::Core(const Config& config, std::uint64_t seed, LogLevel level)
@@ -25,6 +26,7 @@
       workers_(port_, election_, ledger_, config_,
                [this](const workers::Finished& f) { fleet_.learn(f); }),
       fleet_(port_, election_, ledger_, workers_, config_),
+      scheduler_(port_, ledger_, workers_, fleet_, config_),
       jobs_(port_, store_, config_, fleet_.types(),
             [this](const JobId& id) { return progress(id); }) {}
 
@@ -47,12 +49,15 @@
     election_.tick();
     follow_leadership();
     fleet_.tick_types();
-    if (leads()) resign_if_deaf();
+    const bool upkeep = now >= next_upkeep_;
+    if (upkeep) next_upkeep_ = now + kUpkeepEvery;
+    if (upkeep && election_.is_leader()) step_back_if_isolated();
+    if (upkeep && leads()) resign_if_deaf();
     if (leads()) {
         fleet_.tick();
         schedule();
         workers_.tick();
-        ledger_.tidy();
+        if (upkeep) ledger_.tidy();
         ledger_.flush();
     }
     jobs_.tick();
@@ -189,7 +194,11 @@
 // A worker that comes back soon after it was sent to the leader cannot reach the leader: the two
 // may be on either side of a cut that this node is not behind. Now and then it is sent again.
 bool Core::relay_due(const HostName& host) {
-    std::erase_if(redirected_, [&](const auto& r) { return port_.now() - r.second > kRelayFor; });
+    if (port_.now() >= next_forget_) {
+        next_forget_ = port_.now() + kForgetEvery;
+        std::erase_if(redirected_,
+                      [&](const auto& r) { return port_.now() - r.second > kRelayFor; });
+    }
     return !redirected_.try_emplace(host, port_.now()).second;
 }
 
@@ -223,6 +232,17 @@
     election_.resign(kStandAside);
 }
 
+// A leader that reaches neither the state service nor another node may long have been replaced.
+// Its workers must not stay with it until their leases, renewed by it in vain, keep their tasks
+// from the others: they are sent away in good time. Where others are heard, their word decides.
+void Core::step_back_if_isolated() {
+    if (config_.known.empty() || store_.reachable()) return;
+    const auto alone = std::min(store_.silent_for(), port_.now() - peers_.last_heard());
+    if (alone < std::max(config_.tuning.leader_lease, config_.lease * kIsolatedPart / 100)) return;
+    port_.log(LogLevel::info, "event=isolated term={}", election_.term().get());
+    election_.step_back();
+}
+
 void Core::handle_ready(const Request& request) {
     ready() ? port_.answer(request.id, 200, wire::Writer().map(0).take())
             : port_.answer(request.id, 503, wire::encode_error("not ready"), 1);
@@ -269,7 +289,7 @@
         return;
     }
     next_schedule_ = port_.now() + kScheduleEvery;
-    scheduler::Scheduler(port_, ledger_, workers_, fleet_, config_).run();
+    scheduler_.run();
 }
 
 }  // namespace dunebridge::core
--- a/src/core/core.hpp
+++ b/src/core/core.hpp
@@ -14,7 +14,7 @@
 #include "core/ledger.hpp"
 #include "core/port.hpp"
 #include "fleet/fleet.hpp"
-#include "scheduler/placement.hpp"
+#include "scheduler/scheduler.hpp"
 #include "state/store.hpp"
 #include "workers/workers.hpp"
 
@@ -61,6 +61,7 @@
     bool relay_due(const HostName& host);
     void relay(const Request& request, const NodeName& leader);
     void resign_if_deaf();
+    void step_back_if_isolated();
     void follow_leadership();
     void schedule();
     cluster::Hello hello();
@@ -74,11 +75,14 @@
     Ledger ledger_;
     workers::Workers workers_;
     fleet::Fleet fleet_;
+    scheduler::Scheduler scheduler_;
     api::Jobs jobs_;
     std::uint64_t generation_ = 0;
     bool led_ = false;
     Instant next_schedule_{};
+    Instant next_upkeep_{};
     std::map<HostName, Instant> redirected_;
+    Instant next_forget_{};
 };
 
 }  // namespace dunebridge::core
--- a/src/core/ledger.hpp
+++ b/src/core/ledger.hpp
@@ -1,9 +1,14 @@
 // The ledger: which tasks are on which machines, what is done, and which rentals are under way.
 //
 // Only the leader has one. Every change is made in memory first and marked dirty; flush() commits
-// dirty keys, oldest first, in transactions that guard the leader key, one at a time. A placement
-// may be acted on only once it is `committed`. A transaction without an answer ends the term: the
-// new term's revision of the leader key keeps the lost one from being applied later.
+// dirty keys in transactions that guard the leader key, one at a time. A placement may be acted on
+// only once it is `committed`. A transaction without an answer ends the term: the new term's
+// revision of the leader key keeps the lost one from being applied later.
+//
+// Placements are recorded per job and chunk of its tasks, machines per rental, so that the number
+// of changes grows neither with tasks nor with machines touched. What users wait for (ends) and
+// what lets tasks start (placements, claims) is committed at once; what is proved done or gone
+// follows at a fixed cadence, and until then the workers' lists of exited tasks hold it.
 #pragma once
 
 #include <cstdint>
@@ -15,6 +20,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "base/resources.hpp"
 #include "base/types.hpp"
 #include "cluster/election.hpp"
 #include "core/config.hpp"
@@ -24,6 +30,9 @@
 
 namespace dunebridge::core {
 
+// Attempts are the term above a counter: they grow across leaders without being stored.
+inline constexpr int kAttemptBits = 28;
+
 using Version = std::uint64_t;  // counts the ledger's changes in memory
 
 enum class JobState : std::uint8_t {
@@ -32,8 +41,11 @@
     ended    // done or withdrawn: nothing of it may run
 };
 
+struct Placement;
+struct Machine;
+
 struct Task {
-    std::uint8_t placements = 0;
+    Placement* at = nullptr;  // where it is recorded to be; a task has one placement at most
     bool done = false;
     bool shielded = false;  // the paper's flag 2: stopped once by preemption
 };
@@ -49,12 +61,15 @@
     std::uint32_t done = 0;
     std::uint32_t placed = 0;
     std::uint32_t running = 0;
-    std::map<std::string, std::uint32_t> zones;  // placements by zone
-    Version last_change = 0;
+    std::map<std::string, std::uint32_t> zones;  // placements by zone; "" where it is not known
 
     Instant retry_at{};  // after errors and refusals
     Millis pause{0};
     std::set<HostName> failed_on;
+
+    // Some task of it has been given a machine.
+    bool begun() const { return done > 0 || placed > 0; }
+    Resources need() const { return {spec.cores, spec.accelerators, spec.ram_gb}; }
 };
 
 // How a start has left this leader.
@@ -67,6 +82,7 @@
 
 struct Placement {
     Job* job = nullptr;
+    Machine* machine = nullptr;
     std::uint32_t index = 0;
     Attempt attempt;
     bool committed = false;
@@ -74,6 +90,7 @@
     Sent sent = Sent::never;
     bool seen = false;
     wire::TaskPhase phase = wire::TaskPhase::other;
+    std::uint64_t tenure = 0;  // of the session it was sent to or seen in, in this term; 0: neither
     Instant placed_at{};
     Instant running_since{};
     bool halting = false;
@@ -87,6 +104,7 @@
 struct Exited {
     TaskRef task;
     Attempt attempt;
+    std::string record;  // the key that must hold the outcome; empty: none
     Version outcome = 0;
 };
 
@@ -98,16 +116,23 @@
     std::string shape;
     std::string region;
     bool spot = false;
+    std::string group;  // the rental record that names it
     std::map<PlacementKey, Placement> tasks;
+    Resources total;    // what its type has; nothing until that is known
+    Resources used;     // by all of its tasks
+    Resources leaving;  // the part of it that tasks being stopped will leave
 
     // Dealings with the worker, of this term only.
     bool reported = false;
     ReportOrder last;
+    ReportOrder last_checkin;
     Epoch shown;
+    // Answers to check-ins that carried the current epoch, since a report last showed it.
+    std::uint32_t unheeded = 0;
+    Instant unheeded_since{};
     std::uint64_t fence = 0;
     Instant known_since{};  // to this term's leader
     Instant rented_at{};    // as far as the machine list tells
-    bool was_up = false;    // has reported, in this term or an earlier one; on record
     Instant last_report{};
     Instant last_reply{};
     std::optional<Instant> taken_at;  // announced by a notice
@@ -128,6 +153,14 @@
     bool deleting = false;
     Instant idle_since{};
     std::set<std::string> images;  // seen running here; for ties only
+    std::uint64_t kept_for = 0;    // serial of the aged job that this machine is kept for
+};
+
+// A rental: its claim, and once that is answered the machines it brought that are not gone.
+struct Group {
+    wire::RentalRequest request;
+    bool answered = false;
+    std::set<HostName> hosts;
 };
 
 struct TeamUse {
@@ -149,12 +182,13 @@
     Job* find_job(const JobId& id);
     std::map<JobId, Job>& jobs() { return jobs_; }
 
-    Machine& add_machine(const HostName& host, const std::string& endpoint,
-                         const std::string& shape, const std::string& region, bool spot);
+    // A machine that no rental's answer has named.
+    Machine& add_machine(const HostName& host, const std::string& shape, const std::string& region,
+                         bool spot);
     Machine* find_machine(const HostName& host);
     std::map<HostName, Machine>& machines() { return machines_; }
-    // The machine has reported: on record, so that a later leader does not wait for it to boot.
-    void mark_up(Machine& machine);
+    // What a machine is, where its record does not tell.
+    void describe(Machine& machine, const std::string& shape, const std::string& region, bool spot);
     // The machine is proved gone, and so is everything on it.
     void drop_machine(Machine& machine);
 
@@ -164,49 +198,77 @@
     void mark_done(Job& job, std::uint32_t index);
     void mark_shielded(Job& job, std::uint32_t index);
     void set_running(Placement& placement, bool running);
+    // The placement is to be stopped: what it takes will be free.
+    void set_halting(Placement& placement);
 
     void add_claim(const wire::RentalRequest& request);
-    void remove_claim(const std::string& claim);
-    const std::map<std::string, wire::RentalRequest>& claims() const { return claims_; }
+    // The machines that the claim has brought, as far as they are not gone; none: it is over.
+    void claim_answered(const std::string& claim, const std::vector<HostName>& hosts);
+    const std::map<std::string, Group>& groups() const { return groups_; }
+    // Claims without an answer.
+    const std::set<std::string>& open_claims() const { return open_claims_; }
     bool claim_committed(const std::string& claim) const;
 
+    // Machines that commands wait for.
+    void want_orders(Machine& machine);
+    std::vector<Machine*> take_wanting();
+
     const TeamUse& use(const std::string& team) { return use_[team]; }
 
     Version version() const { return version_; }
-    // All changes up to this one are in the state service.
-    Version committed() const;
+    // The record's changes up to this version are in the state service.
+    bool committed(const std::string& key, Version version) const;
+    static std::string record_of(const Job& job, std::uint32_t index);
+    // Changes sent to the state service by this ledger, for measurements.
+    std::uint64_t changes_sent() const { return changes_sent_; }
     // Sends the next transaction if there is something to commit and none is under way.
     void flush();
     // Forgets ended jobs that have left no trace on any machine.
     void tidy();
 
   private:
+    enum class Pace : std::uint8_t { end, urgent, cadence };
     struct Dirty {
         Version first = 0;
         Version last = 0;
+        Pace pace = Pace::cadence;
+        Instant since{};
     };
     struct Commit {
         Version version = 0;
         std::vector<std::pair<std::string, bool>> keys;  // and whether set or removed
+        std::vector<wire::Guard> guards;
+        std::vector<wire::Write> writes;
+        std::vector<Placement*> placements;
+        std::size_t bytes = 0;
+    };
+    struct Record {
+        std::string packed;
+        std::size_t json = 0;  // its size as the protocol counts it
     };
 
-    void mark(const std::string& key);
-    void mark_progress(const Job& job, std::uint32_t index);
-    std::optional<std::string> value_of(const std::string& key);
-    std::string machine_value(const Machine& machine) const;
-    std::string progress_value(const Job& job, std::uint32_t chunk) const;
-    bool guard_placements(const std::string& key, std::vector<wire::Guard>& guards,
-                          std::set<std::string>& guarded, std::size_t room) const;
+    void mark(const std::string& key, Pace pace);
+    void mark_progress(const Job& job, std::uint32_t index, Pace pace);
+    std::vector<std::pair<std::string, Dirty>> due_keys();
+    bool add_to(Commit& commit, std::set<std::string>& guarded, const std::string& key);
+    std::optional<Record> value_of(const std::string& key);
+    Record group_value(const Group& group) const;
+    Record progress_value(const Job& job, std::uint32_t chunk) const;
+    std::pair<Job*, std::uint32_t> chunk_of(const std::string& key);
+    void leave_group(const Machine& machine);
+    void bad_record(const std::string& key, const std::string& error);
     void finish_commit(const Commit& commit, const state::MultiResult& result);
     void committed_keys(const Commit& commit);
     void end_committed(const JobId& id);
     void conflict(const state::MultiResult& result);
     void attach(Machine& machine, Job& job, std::uint32_t index, Placement placement);
+    Machine& new_machine(const HostName& host);
 
     void load_jobs(const state::ListResult& rows);
     void load_progress(const state::ListResult& rows);
-    void load_machines(const state::ListResult& rows);
-    void load_claims(const state::ListResult& rows);
+    void load_chunk(const state::Row& row);
+    void load_placement(Job& job, std::uint32_t index, const HostName& host, Attempt attempt);
+    void load_groups(const state::ListResult& rows);
     void load_next(std::size_t step, std::uint64_t generation);
     void check_ends(std::vector<JobId> ids, std::uint64_t generation);
     void watch(const char* prefix, KeyRev from, std::uint64_t generation);
@@ -226,14 +288,17 @@
     std::uint64_t next_attempt_ = 0;
     std::map<JobId, Job> jobs_;
     std::map<HostName, Machine> machines_;
-    std::map<std::string, wire::RentalRequest> claims_;
+    std::map<std::string, Group> groups_;
+    std::set<std::string> open_claims_;
+    std::vector<Machine*> wanting_;
     std::unordered_map<std::string, TeamUse> use_;
 
     Version version_ = 0;
     std::map<std::string, Dirty> dirty_;
-    std::set<std::string> stored_;  // keys of mach/, prog/ and rent/ that exist
+    std::set<std::string> stored_;  // keys of job/, prog/ and rent/ that exist
     bool in_commit_ = false;
     Instant next_commit_{};
+    std::uint64_t changes_sent_ = 0;
 };
 
 }  // namespace dunebridge::core
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -16,8 +16,11 @@
 constexpr Millis kTypesEvery{60000};
 constexpr Millis kCloudTimeout{5000};
 constexpr Millis kListEvery{4000};
+constexpr double kListShare = 0.25;
+constexpr Millis kPagePause{200};
 constexpr Millis kCloudRetry{1000};
 constexpr Millis kResizeEvery{1000};
+constexpr Millis kCheckEvery{250};
 constexpr Millis kRefusedPause{15000};
 constexpr Millis kMostRefused{60000};
 constexpr Millis kUnheardMargin{3000};
@@ -104,17 +107,29 @@
 void Fleet::list() {
     listing_ = true;
     list_seen_.clear();
+    list_pages_ = 0;
     list_page({}, election_.generation());
 }
 
 void Fleet::list_page(std::string from, std::uint64_t generation) {
+    if (!current(generation)) return;
+    // Each page is a call; the first has been taken from the budget.
+    if (list_pages_ > 0 && !take_call()) {
+        port_.after(kPagePause, [this, from, generation] { list_page(from, generation); });
+        return;
+    }
+    ++list_pages_;
     auto target = std::string("/rentals?page=500");
     if (!from.empty()) target += "&from=" + from;
     port_.call(Service::cloud, {}, "GET", target, {}, kCloudTimeout,
                [this, generation](const HttpReply& reply) {
                    if (!current(generation)) return;
                    listing_ = false;
-                   next_list_ = port_.now() + kListEvery;
+                   // A long list leaves most of the budget to rentals and deletions.
+                   next_list_ =
+                       port_.now() +
+                       std::max(kListEvery,
+                                from_seconds(list_pages_ / (kListShare * config_.cloud_rps)));
                    if (reply.status != 200) return;
                    try {
                        const auto doc = wire::Document::parse(reply.body);
@@ -138,12 +153,13 @@
     if (workers_.was_deleted(row.host)) return;  // the list is late
     auto* m = ledger_.find_machine(row.host);
     if (!m) {
-        m = &ledger_.add_machine(row.host, row.endpoint, row.shape, row.region, row.reclaimable);
+        m = &ledger_.add_machine(row.host, row.shape, row.region, row.reclaimable);
         port_.log(LogLevel::info, "event=machine_unexpected host={} phase={}", row.host.get(),
                   static_cast<int>(row.phase));
     }
     m->listed = true;
     m->missing_lists = 0;
+    if (m->shape.empty()) ledger_.describe(*m, row.shape, row.region, row.reclaimable);
     if (!m->reported) {
         m->rented_at = std::min(m->rented_at, port_.now() - from_seconds(row.held_s));
         m->starting = row.phase == wire::RentalPhase::starting;
@@ -171,15 +187,16 @@
               m.shape, m.tasks.size(), why);
 }
 
-void Fleet::count_silent() {
+void Fleet::check_machines() {
     std::size_t up = 0;
     std::size_t silent = 0;
     for (const auto& [host, m] : ledger_.machines()) {
-        if (!m.was_up || m.deleting) continue;
+        if (m.deleting || (!m.reported && m.tasks.empty())) continue;
         ++up;
         if (workers_.late(m)) ++silent;
     }
     many_silent_ = silent >= kManySilent && silent * 2 > up;
+    for (auto& [host, m] : ledger_.machines()) check_machine(m);
 }
 
 // How long a silent machine with tasks is waited for. A short cut ends by itself and its tasks have
@@ -196,6 +213,7 @@
     if (m.deleting) return;
     const auto now = port_.now();
     const auto* t = type(m.shape);
+    if (t) m.total = {t->cores, t->accelerators, t->ram_gb};
     const auto startup = from_seconds(t ? t->startup_s : 60);
     if (!m.reported) {
         // A new leader hears of machines only from its own term's start on.
@@ -206,8 +224,6 @@
             } else if (known > (many_silent_ ? config_.lease * 2 : patience())) {
                 remove(m, "unheard");
             }
-        } else if (m.was_up) {
-            if (known > kUnheardIdle) remove(m, "unheard");
         } else if (m.missing_lists >= 2 && known > config_.list_lag * 3 + kUnheardMargin) {
             // Deleted by an earlier leader whose last word on it was lost: a ghost of the list.
             remove(m, "unlisted");
@@ -223,11 +239,14 @@
         remove(m, "taken");
     } else if (m.listed && m.missing_lists >= 2 && workers_.silent(m, short_silence)) {
         remove(m, "unlisted");
+    } else if (workers_.deaf_for(m) > patience()) {
+        // It reports but hears nothing: no command reaches it, and its lease ends by itself.
+        remove(m, "deaf");
     } else if (many_silent_ && !workers_.silent(m, config_.lease * 2)) {
         // More likely this node's own trouble than that of so many machines at once.
     } else if (workers_.silent(m, m.tasks.empty() ? config_.lease : patience())) {
         remove(m, "silent");
-    } else if (m.draining && m.tasks.empty() && ledger_.committed() == ledger_.version()) {
+    } else if (m.draining && m.tasks.empty()) {
         remove(m, "drained");
     }
     save_tasks(m);
@@ -279,7 +298,8 @@
 // ---- rentals ----
 
 void Fleet::send_claims() {
-    for (const auto& [claim, request] : ledger_.claims()) {
+    for (const auto& claim : ledger_.open_claims()) {
+        const auto& request = ledger_.groups().at(claim).request;
         // The claim is on record before it is sent: a later leader repeats it and learns which
         // machines it brought.
         if (claims_in_flight_.contains(claim) || !ledger_.claim_committed(claim)) continue;
@@ -302,13 +322,12 @@
     const Market market{request.shape, request.region, request.reclaimable};
     const auto doc = wire::Document::parse(reply.body);
     std::size_t got = 0;
+    std::vector<HostName> hosts;
     if (reply.status == 200 && doc) {
         try {
-            for (const auto& host : wire::decode_hosts(doc->root())) {
-                ++got;
-                if (workers_.was_deleted(host)) continue;
-                ledger_.add_machine(host, {}, request.shape, request.region, request.reclaimable);
-            }
+            hosts = wire::decode_hosts(doc->root());
+            got = hosts.size();
+            std::erase_if(hosts, [&](const auto& host) { return workers_.was_deleted(host); });
         } catch (const wire::DecodeError& e) {
             port_.log(LogLevel::error, "event=bad_rental error=\"{}\"", e.what());
         }
@@ -330,7 +349,7 @@
               request.claim, request.shape, request.region, request.reclaimable, request.how_many,
               got);
     claim_after_.erase(request.claim);
-    ledger_.remove_claim(request.claim);
+    ledger_.claim_answered(request.claim, hosts);
 }
 
 // ---- size ----
@@ -356,30 +375,22 @@
     for (const auto& [id, job] : ledger_.jobs()) {
         if (job.state != JobState::open || job.waiting.empty()) continue;
         Demand d;
-        d.cores = job.spec.cores;
-        d.accelerators = job.spec.accelerators;
-        d.ram_gb = job.spec.ram_gb;
+        d.need = job.need();
         d.spot_allowed = job.spec.reclaimable;
-        if (job.spec.shapes) d.shapes = *job.spec.shapes;
+        d.shapes = job.spec.shapes;
         d.region = job.spec.region.value_or("");
         d.seconds = expected_s(job);
         d.tasks = static_cast<double>(job.waiting.size());
         auto& left = room[job.spec.owner];
-        if (d.cores > 0) d.tasks = std::min(d.tasks, std::floor(left / d.cores));
+        if (d.need.cores > 0) d.tasks = std::min(d.tasks, std::floor(left / d.need.cores));
         if (d.tasks <= 0) continue;
-        left -= d.tasks * d.cores;
+        left -= d.tasks * d.need.cores;
         for (const auto& [host, m] : ledger_.machines()) {
             const auto* t = type(m.shape);
             if (m.deleting || m.draining || m.taken_at || !t) continue;
             if (m.spot && !d.spot_allowed) continue;
             if (!d.region.empty() && m.region != d.region) continue;
-            if (t->cores < d.cores || t->ram_gb < d.ram_gb || t->accelerators < d.accelerators) {
-                continue;
-            }
-            if (!d.shapes.empty() &&
-                std::find(d.shapes.begin(), d.shapes.end(), m.shape) == d.shapes.end()) {
-                continue;
-            }
+            if (!wire::can_hold(*t, d.need, d.shapes)) continue;
             d.fits_somewhere = true;
             break;
         }
@@ -390,9 +401,7 @@
 
 void Fleet::observe_load() {
     double cores = 0;
-    for (const auto& [host, m] : ledger_.machines()) {
-        for (const auto& [key, p] : m.tasks) cores += p.job->spec.cores;
-    }
+    for (const auto& [host, m] : ledger_.machines()) cores += m.used.cores;
     const auto now = port_.now();
     const double dt = last_load_ == Instant{} ? 0 : to_seconds(now - last_load_);
     last_load_ = now;
@@ -422,9 +431,10 @@
              m.reported && m.tasks.empty() ? to_seconds(port_.now() - m.idle_since) : 0.0,
              available});
         machines.push_back(&m);
-        for (const auto& [key, p] : m.tasks) in.placed_cores += p.job->spec.cores;
+        in.placed_cores += m.used.cores;
     }
-    for (const auto& [claim, r] : ledger_.claims()) {
+    for (const auto& claim : ledger_.open_claims()) {
+        const auto& r = ledger_.groups().at(claim).request;
         in.pending[{r.shape, r.region, r.reclaimable}] += r.how_many;
     }
     for (const auto& [market, r] : refused_) {
@@ -451,8 +461,10 @@
 void Fleet::tick() {
     const auto now = port_.now();
     if (!listing_ && now >= next_list_ && take_call()) list();
-    count_silent();
-    for (auto& [host, m] : ledger_.machines()) check_machine(m);
+    if (now >= next_check_) {
+        next_check_ = now + kCheckEvery;
+        check_machines();
+    }
     if (now >= next_resize_) {
         next_resize_ = now + kResizeEvery;
         resize();
--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -45,7 +45,7 @@
     void apply_row(const wire::Rental& row);
     void apply_missing();
     void check_machine(core::Machine& machine);
-    void count_silent();
+    void check_machines();
     Millis patience() const;
     void save_tasks(core::Machine& machine);
     void remove(core::Machine& machine, const char* why);
@@ -71,6 +71,7 @@
     bool listing_ = false;
     Instant next_list_{};
     std::set<HostName> list_seen_;
+    int list_pages_ = 0;
     bool deleting_ = false;
     Instant next_delete_{};
     std::set<std::string> claims_in_flight_;
@@ -79,6 +80,7 @@
     std::uint64_t claim_count_ = 0;
     bool many_silent_ = false;
     Instant next_resize_{};
+    Instant next_check_{};
     Instant last_load_{};
     Instant no_return_before_{};
     double load_cores_ = 0;
--- a/src/fleet/sizing.cpp
+++ b/src/fleet/sizing.cpp
@@ -14,12 +14,6 @@
 constexpr double kSparePenalty = 0.3;
 constexpr double kCrowdPenalty = 0.02;
 
-bool holds(const wire::MachineType& t, const Demand& d) {
-    return t.cores >= d.cores && t.ram_gb >= d.ram_gb && t.accelerators >= d.accelerators &&
-           (d.shapes.empty() ||
-            std::find(d.shapes.begin(), d.shapes.end(), t.name) != d.shapes.end());
-}
-
 double rate_per_core(const SizingInput& in, const Market& m) {
     for (const auto& t : in.types) {
         if (t.name == m.shape && t.cores > 0) return (m.spot ? t.low_price : t.rate) / t.cores;
@@ -27,6 +21,8 @@
     return 0;
 }
 
+double work(const Demand& d) { return d.tasks * d.need.cores * d.seconds; }
+
 struct Counts {
     double cores = 0;
     std::map<std::string, std::size_t> by_region;
@@ -54,7 +50,7 @@
     const wire::MachineType* best = nullptr;
     double best_cost = std::numeric_limits<double>::max();
     for (const auto& t : in.types) {
-        if (t.cores <= 0 || (demand && !holds(t, *demand))) continue;
+        if (t.cores <= 0 || (demand && !wire::can_hold(t, demand->need, demand->shapes))) continue;
         for (const auto& region : t.regions) {
             if (demand && !demand->region.empty() && demand->region != region) continue;
             for (const bool spot : {true, false}) {
@@ -100,8 +96,8 @@
     double most_cores = 0;
     for (const auto& d : in.demand) {
         // Short tasks do not fill a machine for the whole horizon.
-        backlog += d.tasks * d.cores * std::max(d.seconds, 5.0);
-        most_cores += d.tasks * d.cores;
+        backlog += d.tasks * d.need.cores * std::max(d.seconds, 5.0);
+        most_cores += d.tasks * d.need.cores;
     }
     const double for_backlog = std::min(most_cores, backlog / in.horizon_s);
     out.target_cores = std::max(in.load_cores * in.headroom, in.placed_cores + for_backlog);
@@ -111,7 +107,7 @@
     for (const auto& d : in.demand) {
         if (d.fits_somewhere || d.tasks <= 0) continue;
         Market market;
-        const auto* t = choose(in, counts, &d, d.cores * d.tasks, true, market);
+        const auto* t = choose(in, counts, &d, d.need.cores * d.tasks, true, market);
         if (!t) continue;
         add_rent(out, counts, market, t->cores);
         ++rented;
@@ -119,8 +115,7 @@
     // The widest like tasks decide what kind of machine is worth adding.
     const Demand* typical = nullptr;
     for (const auto& d : in.demand) {
-        if (!typical ||
-            d.tasks * d.cores * d.seconds > typical->tasks * typical->cores * typical->seconds) {
+        if (!typical || work(d) > work(*typical)) {
             typical = &d;
         }
     }
--- a/src/fleet/sizing.hpp
+++ b/src/fleet/sizing.hpp
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <tuple>
@@ -23,12 +24,10 @@
 
 // Like tasks that wait, decided as a class.
 struct Demand {
-    double cores = 0;
-    double accelerators = 0;
-    double ram_gb = 0;
+    Resources need;  // of one task
     bool spot_allowed = false;
-    std::vector<std::string> shapes;  // empty: any
-    std::string region;               // empty: any
+    std::optional<std::vector<std::string>> shapes;  // none: any
+    std::string region;                              // empty: any
     double tasks = 0;
     double seconds = 0;           // expected run time of one task
     bool fits_somewhere = false;  // a machine of the fleet, empty or not, could hold one
--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -1,6 +1,7 @@
 #include "scheduler/scheduler.hpp"
 
 #include <algorithm>
+#include <limits>
 #include <tuple>
 
 namespace dunebridge::scheduler {
@@ -16,46 +17,76 @@
 constexpr double kFetchGuess_gb_per_s = 0.5;
 constexpr double kEstimateDoubt = 1.5;
 constexpr double kStop_s = 1.5;  // for a victim to stop and its machine to report it
-
-Resources need_of(const Job& job) {
-    return {job.spec.cores, job.spec.accelerators, job.spec.ram_gb};
-}
+// A job that has waited so long without a task begun is given its first one before all others.
+constexpr Millis kAged{90000};
+constexpr std::size_t kKeptShare = 10;  // one machine in so many may be kept for aged jobs
 
 }  // namespace
 
 Scheduler::Scheduler(core::Port& port, core::Ledger& ledger, workers::Workers& workers,
                      fleet::Fleet& fleet, const core::Config& config)
-    : port_(port), ledger_(ledger), workers_(workers), fleet_(fleet), config_(config) {}
+    : port_(port), ledger_(ledger), workers_(workers), fleet_(fleet), config_(config) {
+    const auto least = [](std::optional<double>& least_s, double s) {
+        least_s = std::min(least_s.value_or(s), s);
+    };
+    for (const auto& o : config_.objectives) {
+        if (o.within_s <= 0) continue;
+        if (o.kind == "wait") least(asked_[o.jobclass].wait_s, o.within_s);
+        if (o.kind == "finished") least(asked_[o.jobclass].finished_s, o.within_s);
+        if (o.kind == "guarantee") least(guarantee_s_, o.within_s);
+    }
+}
 
 void Scheduler::run() {
     const auto entries = waiting_jobs();
     if (entries.empty()) return;
-    find_rooms();
-    for (const auto& entry : entries) place(entry);
+    find_rooms(entries);
+    for (const auto& entry : entries) entry.aged ? begin(entry) : place(entry);
+    for (const auto& entry : entries) {
+        if (entry.aged && entry.job->begun()) place(entry);
+    }
+    machines_.clear();
+    rooms_.clear();
+    nowhere_.clear();
+    victims_.reset();
 }
 
-void Scheduler::find_rooms() {
+void Scheduler::find_rooms(const std::vector<Entry>& entries) {
+    std::set<std::uint64_t> aged;
+    double least_cores = std::numeric_limits<double>::max();
+    for (const auto& e : entries) {
+        if (e.aged) aged.insert(e.job->serial);
+        least_cores = std::min(least_cores, e.job->spec.cores);
+    }
     for (auto& [host, m] : ledger_.machines()) {
-        const auto* type = fleet_.type(m.shape);
-        if (!type || !workers_.usable(m)) continue;
-        Room room;
-        room.total = {type->cores, type->accelerators, type->ram_gb};
-        room.free = room.later = room.total;
-        for (const auto& [key, p] : m.tasks) {
-            const auto need = need_of(*p.job);
-            room.free.subtract(need);
-            if (!p.halting) room.later.subtract(need);
-            const double ran =
-                p.running_since == Instant{} ? 0 : to_seconds(port_.now() - p.running_since);
-            const double left =
-                std::max(0.0, fleet_.expected_s(*p.job) - ran) + to_seconds(config_.tuning.slack);
-            room.earliest_s = room.earliest_s == 0 ? left : std::min(room.earliest_s, left);
-        }
-        machines_.push_back(&m);
-        rooms_.push_back(room);
+        if (m.kept_for != 0 && !aged.contains(m.kept_for)) m.kept_for = 0;
+        // Most machines are full most of the time.
+        const double cores = m.total.cores - m.used.cores + m.leaving.cores;
+        if (cores + 1e-6 >= least_cores && workers_.usable(m)) add_room(m);
     }
 }
 
+void Scheduler::add_room(Machine& m) {
+    Room room{m.total, m.total, {}};
+    room.free.subtract(m.used);
+    room.later = room.free;
+    room.later.add(m.leaving);
+    machines_.push_back(&m);
+    rooms_.push_back(room);
+}
+
+double Scheduler::earliest_s(const Machine& m) const {
+    double earliest = 0;
+    for (const auto& [key, p] : m.tasks) {
+        const double ran =
+            p.running_since == Instant{} ? 0 : to_seconds(port_.now() - p.running_since);
+        const double left =
+            std::max(0.0, fleet_.expected_s(*p.job) - ran) + to_seconds(config_.tuning.slack);
+        earliest = earliest == 0 ? left : std::min(earliest, left);
+    }
+    return earliest;
+}
+
 // A job is within its team's guarantee if it fits into it together with the team's earlier
 // unfinished jobs.
 std::map<const Job*, bool> Scheduler::within_guarantee() const {
@@ -82,22 +113,17 @@
 
 Instant Scheduler::due(const Job& job) const {
     double within = job.spec.due_s.value_or(kNoDeadline_s);
-    for (const auto& o : config_.objectives) {
-        if (o.jobclass == job.spec.jobclass && o.kind == "finished" && o.within_s > 0) {
-            within = std::min(within, o.within_s);
-        }
-    }
+    const auto it = asked_.find(job.spec.jobclass);
+    if (it != asked_.end()) within = std::min(within, it->second.finished_s.value_or(within));
     return job.submitted + from_seconds(within);
 }
 
 Instant Scheduler::start_by(const Entry& entry) const {
     const auto& spec = entry.job->spec;
     double within = kNoDeadline_s;
-    for (const auto& o : config_.objectives) {
-        const bool wait = o.kind == "wait" && o.jobclass == spec.jobclass;
-        const bool guarantee = o.kind == "guarantee" && entry.guaranteed;
-        if ((wait || guarantee) && o.within_s > 0) within = std::min(within, o.within_s);
-    }
+    const auto it = asked_.find(spec.jobclass);
+    if (it != asked_.end()) within = std::min(within, it->second.wait_s.value_or(within));
+    if (entry.guaranteed) within = std::min(within, guarantee_s_.value_or(within));
     // A start counts once the image is there; and the owner's estimate is often wrong by half.
     const double fetch = spec.size_gb / kFetchGuess_gb_per_s;
     const double run = std::max(fleet_.expected_s(*entry.job), spec.expected_s) * kEstimateDoubt;
@@ -119,7 +145,8 @@
             port_.wake_at(job.retry_at);
             continue;
         }
-        out.push_back({&job, false, due(job)});
+        const bool aged = !job.begun() && port_.now() - job.submitted > kAged;
+        out.push_back({&job, false, aged, due(job)});
     }
     if (out.empty()) return out;
     const auto within = within_guarantee();
@@ -129,7 +156,7 @@
     }
     std::sort(out.begin(), out.end(), [&](const Entry& a, const Entry& b) {
         const auto rank = [&](const Entry& e) {
-            const int first = high(*e.job) || e.guaranteed ? 0 : 1;
+            const int first = e.aged ? 0 : high(*e.job) || e.guaranteed ? 1 : 2;
             return std::tuple{first, -static_cast<int>(e.job->spec.urgency), e.due, e.job->serial};
         };
         return rank(a) < rank(b);
@@ -152,10 +179,10 @@
     return left;
 }
 
-bool Scheduler::allowed(const Job& job, std::size_t i) const {
-    const Machine& m = *machines_[i];
+bool Scheduler::allowed(const Job& job, const Machine& m) const {
     const auto& spec = job.spec;
     if (m.spot && !spec.reclaimable) return false;
+    if (m.kept_for != 0 && m.kept_for != job.serial) return false;
     if (spec.region && *spec.region != m.region) return false;
     if (spec.shapes &&
         std::find(spec.shapes->begin(), spec.shapes->end(), m.shape) == spec.shapes->end()) {
@@ -163,71 +190,136 @@
     }
     if (spec.together && !job.zones.empty() && !job.zones.contains(m.region)) return false;
     if (spec.apart) {
-        const auto it = job.zones.find(m.region);
-        if (it != job.zones.end() && it->second >= (spec.shards + 1) / 2) return false;
+        // Tasks whose zone is not known may be in this one.
+        std::uint32_t here = 0;
+        for (const auto& [zone, n] : job.zones) here += zone == m.region || zone.empty() ? n : 0;
+        if (here >= (spec.shards + 1) / 2) return false;
+    }
+    return true;
+}
+
+// Best fit, machine after machine; returns how many tasks were placed.
+std::size_t Scheduler::fill(Job& job, std::size_t most) {
+    if (most == 0) return 0;
+    const auto& spec = job.spec;
+    // Where the zones of the job's other tasks matter, it is decided by itself.
+    const bool alone = spec.together || spec.apart;
+    const Kind kind{spec.cores,       spec.accelerators, spec.ram_gb,
+                    spec.reclaimable, spec.region,       spec.shapes};
+    if (!alone && nowhere_.contains(kind)) return 0;
+    const auto need = job.need();
+    std::size_t placed = 0;
+    const auto order = best_fit(
+        rooms_, need, [&](std::size_t i) { return allowed(job, *machines_[i]); },
+        [&](std::size_t i) { return machines_[i]->images.contains(spec.bundle); });
+    for (const auto i : order) {
+        auto& room = rooms_[i];
+        while (placed < most && room.free.holds(need) && room.later.holds(need) &&
+               (!alone || allowed(job, *machines_[i]))) {
+            ledger_.place(job, *machines_[i]);
+            room.free.subtract(need);
+            room.later.subtract(need);
+            ++placed;
+        }
+        if (placed == most) return placed;
     }
-    // The record of a machine must fit into one value.
-    return static_cast<double>(m.tasks.size()) < config_.state_value_kb * 8;
+    if (!alone) nowhere_.insert(kind);
+    return placed;
 }
 
 void Scheduler::place(const Entry& entry) {
     Job& job = *entry.job;
-    const auto need = need_of(job);
-    const auto ok = [&](std::size_t i) { return allowed(job, i); };
-    for (std::size_t i = 0; i < rooms_.size(); ++i) {
-        rooms_[i].has_image = machines_[i]->images.contains(job.spec.bundle);
-    }
     auto left = quota_left(job);
-    while (left > 0) {
-        const auto i = best_fit(rooms_, need, ok);
-        if (!i) break;
-        ledger_.place(job, *machines_[*i]);
-        rooms_[*i].free.subtract(need);
-        rooms_[*i].later.subtract(need);
-        --left;
-    }
+    left -= fill(job, left);
     if (!high(job) || left == 0) return;
     const auto latest = start_by(entry);
     if (port_.now() < latest) {
         port_.wake_at(latest);
         return;
     }
-    for (; left > 0; --left) {
-        if (const auto i = promised_fit(rooms_, need, ok)) {
-            rooms_[*i].later.subtract(need);
-        } else if (!preempt(job, need)) {
-            return;
+    make_room(job, left);
+}
+
+// Waiting work ages: under a steady flow of others that go first, a job still gets its first task.
+// Where none fits, a machine is kept from others until enough of it is free.
+void Scheduler::begin(const Entry& entry) {
+    Job& job = *entry.job;
+    const auto most = std::min<std::size_t>(quota_left(job), 1);
+    if (most == 0 || fill(job, most) > 0) return;
+    keep_machine(job);
+}
+
+void Scheduler::keep_machine(const Job& job) {
+    std::size_t kept = 0;
+    Machine* best = nullptr;
+    double best_s = 0;
+    for (auto& [host, m] : ledger_.machines()) {
+        if (m.kept_for == job.serial) return;
+        if (m.kept_for != 0) {
+            ++kept;
+            continue;
         }
+        if (!m.total.holds(job.need()) || !workers_.usable(m) || !allowed(job, m)) continue;
+        // The share of the machine that must still end, weighed by how soon that begins.
+        const double until = earliest_s(m) * (1 + m.used.cores / std::max(m.total.cores, 1.0));
+        if (best && until >= best_s) continue;
+        best = &m;
+        best_s = until;
     }
+    if (best && kept * kKeptShare <= ledger_.machines().size()) best->kept_for = job.serial;
 }
 
 // The preemption list is kept in order of start, the latest first: the first that fits has the
 // least work to lose.
-bool Scheduler::preempt(const Job& job, const Resources& need) {
-    Placement* victim = nullptr;
-    std::size_t room = 0;
+void Scheduler::find_victims() {
+    victims_.emplace();
+    // The full machines, which find_rooms() passed over.
+    std::set<const Machine*> known(machines_.begin(), machines_.end());
+    for (auto& [host, m] : ledger_.machines()) {
+        if (!known.contains(&m) && workers_.usable(m)) add_room(m);
+    }
     for (std::size_t i = 0; i < rooms_.size(); ++i) {
-        if (!allowed(job, i)) continue;
         for (auto& [key, p] : machines_[i]->tasks) {
             if (high(*p.job) || p.halting || !p.committed) continue;
             if (p.job->tasks[p.index].shielded) continue;
-            if (victim && p.placed_at <= victim->placed_at) continue;
-            auto later = rooms_[i].later;
-            later.add(need_of(*p.job));
-            if (!later.holds(need)) continue;
-            victim = &p;
-            room = i;
+            victims_->push_back({&p, i});
         }
     }
-    if (!victim) return false;
-    victim->preempted = true;
-    const bool saves = victim->job->spec.snapshot_every_s > 0;
-    workers_.halt(*machines_[room], *victim, saves ? victim->job->spec.snapshot_s + 1 : 0);
-    rooms_[room].later.add(need_of(*victim->job));
-    rooms_[room].later.subtract(need);
-    port_.log(core::LogLevel::info, "event=preempt victim={} for={} host={}", victim->ref().str(),
-              job.spec.id.get(), machines_[room]->host.get());
-    return true;
+    std::stable_sort(victims_->begin(), victims_->end(), [](const Victim& a, const Victim& b) {
+        return a.placement->placed_at > b.placement->placed_at;
+    });
+}
+
+// Promises room to tasks that fit nowhere: first what tasks being stopped will leave, then what
+// the first fitting best-effort tasks leave that are stopped for it.
+void Scheduler::make_room(const Job& job, std::size_t tasks) {
+    const auto need = job.need();
+    const auto promise = [&](std::size_t i) {
+        while (tasks > 0 && rooms_[i].later.holds(need)) {
+            rooms_[i].later.subtract(need);
+            --tasks;
+        }
+    };
+    const auto promised = promised_fit(
+        rooms_, need, [&](std::size_t i) { return allowed(job, *machines_[i]); },
+        [&](std::size_t i) { return earliest_s(*machines_[i]); });
+    for (const auto i : promised) promise(i);
+    if (tasks == 0) return;
+    if (!victims_) find_victims();
+    for (const auto& [victim, i] : *victims_) {
+        if (tasks == 0) return;
+        if (victim->halting || !allowed(job, *machines_[i])) continue;
+        auto later = rooms_[i].later;
+        later.add(victim->job->need());
+        if (!later.holds(need)) continue;
+        victim->preempted = true;
+        const bool saves = victim->job->spec.snapshot_every_s > 0;
+        workers_.halt(*machines_[i], *victim, saves ? victim->job->spec.snapshot_s + 1 : 0);
+        rooms_[i].later = later;
+        promise(i);
+        port_.log(core::LogLevel::info, "event=preempt victim={} for={} host={}",
+                  victim->ref().str(), job.spec.id.get(), machines_[i]->host.get());
+    }
 }
 
 }  // namespace dunebridge::scheduler
--- a/src/scheduler/scheduler.hpp
+++ b/src/scheduler/scheduler.hpp
@@ -1,8 +1,13 @@
-// One pass of placement over the ledger: who goes first, what fits where, and who must make room.
+// The paper's rule (MBFCBS) over the whole part, as adapted in docs/design.md: best fit to the
+// fullest machine; a high-priority task that fits nowhere stops the first fitting best-effort
+// task; best effort never preempts; waiting tasks are held, not bound.
 #pragma once
 
 #include <map>
+#include <optional>
+#include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "core/config.hpp"
@@ -18,38 +23,60 @@
   public:
     Scheduler(core::Port& port, core::Ledger& ledger, workers::Workers& workers,
               fleet::Fleet& fleet, const core::Config& config);
+
+    // One pass: places what waits, and stops what must make room.
     void run();
 
   private:
     struct Entry {
         core::Job* job = nullptr;
-        bool guaranteed = false;
+        bool guaranteed = false;  // within its team's guarantee
+        bool aged = false;        // has waited long without a single task begun
         Instant due{};
     };
+    // What the settings ask of a class of jobs, in seconds from submission.
+    struct Asked {
+        std::optional<double> wait_s;
+        std::optional<double> finished_s;
+    };
+    // What a job asks of a machine: jobs of like tasks that fit nowhere are decided as a class.
+    using Kind = std::tuple<double, double, double, bool, std::optional<std::string>,
+                            std::optional<std::vector<std::string>>>;
 
-    void find_rooms();
     std::vector<Entry> waiting_jobs();
     std::map<const core::Job*, bool> within_guarantee() const;
-    void place(const Entry& entry);
-    // How many more tasks the team's limit allows; exact, counting all that is recorded.
+    Instant due(const core::Job& job) const;
+    Instant start_by(const Entry& entry) const;
+    void find_rooms(const std::vector<Entry>& entries);
+    void add_room(core::Machine& machine);
+    double earliest_s(const core::Machine& machine) const;
     std::size_t quota_left(const core::Job& job) const;
-    bool allowed(const core::Job& job, std::size_t room) const;
-    // Stops the first fitting best-effort task for a high-priority one; room it leaves is promised.
-    bool preempt(const core::Job& job, const Resources& need);
+    bool allowed(const core::Job& job, const core::Machine& machine) const;
+    void place(const Entry& entry);
+    void begin(const Entry& entry);
+    void keep_machine(const core::Job& job);
+    std::size_t fill(core::Job& job, std::size_t most);
+    void make_room(const core::Job& job, std::size_t tasks);
+    void find_victims();
     bool high(const core::Job& job) const;
-    // When the job's tasks must have started for its aims to be kept: the paper's start time ST.
-    // Until then a high-priority task is held rather than let another lose its work.
-    Instant start_by(const Entry& entry) const;
-    // When the job should be over, for the order inside a priority.
-    Instant due(const core::Job& job) const;
 
     core::Port& port_;
     core::Ledger& ledger_;
     workers::Workers& workers_;
     fleet::Fleet& fleet_;
     const core::Config& config_;
+    std::map<std::string, Asked> asked_;
+    std::optional<double> guarantee_s_;
+
+    // Of the pass under way.
     std::vector<core::Machine*> machines_;
     std::vector<Room> rooms_;
+    std::set<Kind> nowhere_;
+    struct Victim {
+        core::Placement* placement;
+        std::size_t room;
+    };
+    std::optional<std::vector<Victim>> victims_;
 };
 
 }  // namespace dunebridge::scheduler
--- a/src/state/store.hpp
+++ b/src/state/store.hpp
@@ -19,6 +19,10 @@
   public:
     explicit Budget(double per_second) : rate_(per_second), tokens_(per_second) {}
     bool take(double n, Instant now);
+    double available(Instant now) {
+        refill(now);
+        return tokens_;
+    }
     // When n tokens will be there.
     Instant ready_at(double n, Instant now) const;
 
--- a/src/wire/codec.hpp
+++ b/src/wire/codec.hpp
@@ -64,50 +64,71 @@
 
 using Buffer = msgpack::sbuffer;
 
-// Writer of maps and lists: the caller states sizes, as MessagePack wants them first.
+// Writer of maps and lists: the caller states sizes, as MessagePack wants them first. It also keeps
+// count of the size in JSON, never too low, as the protocol's limits are counted in that form.
 class Writer {
   public:
     Writer() : packer_(buffer_) {}
     Writer& map(std::size_t n) {
+        json_ += 3;
         packer_.pack_map(static_cast<std::uint32_t>(n));
         return *this;
     }
     Writer& list(std::size_t n) {
+        json_ += 3;
         packer_.pack_array(static_cast<std::uint32_t>(n));
         return *this;
     }
     Writer& text(std::string_view s) {
+        json_ += json_text(s);
         packer_.pack_str(static_cast<std::uint32_t>(s.size()));
         packer_.pack_str_body(s.data(), static_cast<std::uint32_t>(s.size()));
         return *this;
     }
     Writer& count(std::uint64_t v) {
+        std::size_t digits = 1;
+        for (auto rest = v; rest >= 10; rest /= 10) ++digits;
+        json_ += digits + 1;
         packer_.pack_uint64(v);
         return *this;
     }
     Writer& number(double v) {
+        json_ += 25;
         packer_.pack_double(v);
         return *this;
     }
     Writer& boolean(bool v) {
+        json_ += 6;
         v ? packer_.pack_true() : packer_.pack_false();
         return *this;
     }
     Writer& null() {
+        json_ += 5;
         packer_.pack_nil();
         return *this;
     }
-    // Appends a value packed earlier.
-    Writer& raw(std::string_view packed) {
+    // Appends a value packed earlier, of that size in JSON.
+    Writer& raw(std::string_view packed, std::size_t json = 0) {
+        json_ += json;
         buffer_.write(packed.data(), packed.size());
         return *this;
     }
     std::size_t size() const { return buffer_.size(); }
+    std::size_t json_size() const { return json_; }
     std::string take() { return std::string(buffer_.data(), buffer_.size()); }
 
   private:
+    // With the separator that follows.
+    static std::size_t json_text(std::string_view s) {
+        std::size_t n = 3;
+        for (const char c : s)
+            n += c == '"' || c == '\\' ? 2 : static_cast<unsigned char>(c) < 32 ? 6 : 1;
+        return n;
+    }
+
     Buffer buffer_;
     msgpack::packer<Buffer> packer_;
+    std::size_t json_ = 0;
 };
 
 }  // namespace dunebridge::wire
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -305,6 +305,14 @@
     return out;
 }
 
+bool can_hold(const MachineType& type, const Resources& need,
+              const std::optional<std::vector<std::string>>& shapes) {
+    if (shapes && std::find(shapes->begin(), shapes->end(), type.name) == shapes->end()) {
+        return false;
+    }
+    return Resources{type.cores, type.accelerators, type.ram_gb}.holds(need);
+}
+
 std::string encode(const RentalRequest& r) {
     Writer w;
     w.map(5).text("claim").text(r.claim).text("shape").text(r.shape).text("region").text(r.region);
--- a/src/wire/messages.hpp
+++ b/src/wire/messages.hpp
@@ -7,6 +7,7 @@
 #include <string_view>
 #include <vector>
 
+#include "base/resources.hpp"
 #include "base/types.hpp"
 #include "wire/codec.hpp"
 
@@ -114,6 +115,10 @@
     std::vector<std::string> regions;
 };
 std::vector<MachineType> decode_machine_types(Value body);
+// Whether a machine of the type, with nothing on it, can hold a task that needs so much and allows
+// these types (none: any).
+bool can_hold(const MachineType& type, const Resources& need,
+              const std::optional<std::vector<std::string>>& shapes);
 
 struct RentalRequest {
     std::string claim;
--- a/src/workers/workers.cpp
+++ b/src/workers/workers.cpp
@@ -30,6 +30,11 @@
 constexpr Millis kLeaseMargin{500};
 constexpr Millis kLateMargin{500};
 constexpr Millis kRememberDeleted{900000};
+constexpr Millis kSweepEvery{250};
+constexpr std::size_t kMostStrangers = 4000;
+// Answers that may be lost one after the other before a machine is taken for deaf.
+constexpr std::uint32_t kUnheeded = 3;
+constexpr Millis kForgetStrangers{60000};
 }  // namespace
 
 Workers::Workers(core::Port& port, cluster::Election& election, core::Ledger& ledger,
@@ -40,7 +45,10 @@
       config_(config),
       finished_(std::move(finished)) {}
 
-void Workers::reset() { deleted_.clear(); }
+void Workers::reset() {
+    deleted_.clear();
+    strangers_.clear();
+}
 
 Epoch Workers::epoch(const Machine& m) const {
     return Epoch(election_.term().get() << kFenceBits | m.fence);
@@ -52,9 +60,16 @@
 
 bool Workers::late(const Machine& m) const { return silent(m, config_.report * 2 + kLateMargin); }
 
+bool Workers::deaf(const Machine& m) const { return m.unheeded >= kUnheeded; }
+
+Millis Workers::deaf_for(const Machine& m) const {
+    return deaf(m) ? port_.now() - m.unheeded_since : Millis(0);
+}
+
 bool Workers::usable(const Machine& m) const {
     return m.reported && !m.draining && !m.deleting && !m.failed && !m.taken_at &&
-           port_.now() >= m.refused_until && !late(m);
+           m.shown.get() >> kFenceBits == election_.term().get() &&
+           port_.now() >= m.refused_until && !late(m) && !deaf(m);
 }
 
 void Workers::deleted(const HostName& host) {
@@ -65,9 +80,9 @@
 
 void Workers::halt(Machine& m, Placement& p, double drain_s) {
     if (p.halting) return;
-    p.halting = true;
+    ledger_.set_halting(p);
     p.drain_s = drain_s;
-    m.wants_orders = true;
+    ledger_.want_orders(m);
 }
 
 // ---- reports ----
@@ -79,15 +94,28 @@
     }
     auto* machine = ledger_.find_machine(report.host);
     if (!machine) {
+        if (greet_stranger(id, report)) return;
         // Rented by a request whose answer was lost, or before this term: used, or returned idle.
-        machine = &ledger_.add_machine(report.host, report.endpoint, report.shape, report.region,
-                                       report.reclaimable);
+        machine =
+            &ledger_.add_machine(report.host, report.shape, report.region, report.reclaimable);
         port_.log(LogLevel::info, "event=machine_unexpected host={}", report.host.get());
     }
+    // A worker's check-ins come in order, one at a time: this is a late copy, or one that it has
+    // given up. Nobody waits for the answer, and it must not count as one.
+    if (machine->reported && report.order <= machine->last_checkin) {
+        port_.answer(id, 503, wire::encode_error("overtaken"), 1);
+        return;
+    }
+    machine->last_checkin = report.order;
     if (!apply(*machine, report, Source::checkin)) {
         port_.answer(id, 503, wire::encode_error("superseded"), 1);
         return;
     }
+    if (machine->shown == epoch(*machine)) {
+        machine->unheeded = 0;
+    } else if (machine->unheeded++ == 0) {
+        machine->unheeded_since = port_.now();
+    }
     machine->last_reply = port_.now();
     // The worker has given up on a report that newer ones overtook: it will not read the answer.
     std::vector<Order> out;
@@ -95,6 +123,23 @@
     port_.answer(id, 200, wire::encode_checkin_reply(epoch(*machine), out));
 }
 
+// A host that no record names: a late report of a machine that is long gone must not bring it
+// back. It is told the epoch, and believed once it shows it.
+bool Workers::greet_stranger(RequestId id, const wire::Report& report) {
+    if (report.epoch.get() >> kFenceBits == election_.term().get()) {
+        strangers_.erase(report.host);
+        return false;
+    }
+    if (strangers_.size() >= kMostStrangers && !strangers_.contains(report.host)) {
+        port_.answer(id, 503, wire::encode_error("too many strangers"), 1);
+        return true;
+    }
+    strangers_.try_emplace(report.host, port_.now());
+    port_.answer(id, 200,
+                 wire::encode_checkin_reply(Epoch(election_.term().get() << kFenceBits), {}));
+    return true;
+}
+
 // Returns false if the report shows that this leader has been superseded.
 bool Workers::apply(Machine& m, const wire::Report& r, Source source) {
     if (r.epoch > epoch(m)) {
@@ -114,7 +159,7 @@
         m.last_reply = port_.now();
     }
     m.reported = true;
-    ledger_.mark_up(m);
+    ledger_.describe(m, r.shape, r.region, r.reclaimable);
     m.starting = false;
     m.last = r.order;
     m.shown = r.epoch;
@@ -145,11 +190,12 @@
         if (t.phase != TaskPhase::exited) {
             if (!recorded) {
                 m.strays.emplace_back(t.task, t.attempt);
-                m.wants_orders = true;
+                ledger_.want_orders(m);
                 continue;
             }
             auto& p = it->second;
             p.seen = true;
+            p.tenure = std::max(p.tenure, r.order.tenure);
             p.phase = t.phase;
             if (t.phase == TaskPhase::running) {
                 ledger_.set_running(p, true);
@@ -157,29 +203,47 @@
             }
             continue;
         }
-        core::Version outcome = ledger_.version();
-        for (const auto& e : known_exited) {
-            if (e.task == t.task && e.attempt == t.attempt) outcome = e.outcome;
+        core::Exited e{t.task, t.attempt, {}, 0};
+        if (job) {
+            e.record = core::Ledger::record_of(*job, t.task.index);
+            e.outcome = ledger_.version();
+        }
+        for (const auto& known : known_exited) {
+            if (known.task == t.task && known.attempt == t.attempt) e.outcome = known.outcome;
         }
         if (recorded) {
             exited(m, it->second, t);
-            outcome = ledger_.version();
+            e.outcome = ledger_.version();
         } else if (job && t.reason == ExitReason::done) {
             // Completed under a record that an earlier leader no longer held; the result counts.
             ledger_.mark_done(*job, t.task.index);
-            outcome = std::max(outcome, ledger_.version());
+            e.outcome = std::max(e.outcome, ledger_.version());
         }
-        m.exited.push_back({t.task, t.attempt, outcome});
+        m.exited.push_back(std::move(e));
     }
 }
 
 // What the report lacks is proof only if no command of an older epoch, no direct command under
 // way and no check-in answer still to be delivered can yet start the task.
 void Workers::reconcile(Machine& m, const wire::Report& r, Source source) {
-    if (r.epoch != epoch(m)) return;
+    const bool sure = r.epoch == epoch(m);
+    const bool shows_term = r.epoch.get() >> kFenceBits == election_.term().get();
+    bool lost = false;
     std::vector<PlacementKey> gone;
     for (auto& [key, p] : m.tasks) {
-        if (!p.committed || p.sent == Sent::never || p.sent == Sent::direct) continue;
+        if (!p.committed) continue;
+        // A later session has forgotten the tasks of earlier ones, and takes no command of theirs.
+        // What an earlier leader may have sent to this session counts until it is fenced off.
+        const bool ours = p.attempt.get() >> core::kAttemptBits == election_.term().get();
+        if (p.tenure != 0 && r.order.tenure > p.tenure && (ours || shows_term)) {
+            const bool here = std::any_of(r.tasks.begin(), r.tasks.end(),
+                                          [&](const auto& t) { return t.attempt == p.attempt; });
+            if (!here) {
+                gone.push_back(key);
+                continue;
+            }
+        }
+        if (!sure || p.sent == Sent::never || p.sent == Sent::direct) continue;
         const bool listed = std::any_of(r.tasks.begin(), r.tasks.end(), [&](const auto& t) {
             return t.attempt == p.attempt && t.task.index == p.index &&
                    t.task.job == p.job->spec.id;
@@ -193,9 +257,12 @@
             gone.push_back(key);
         } else {
             p.sent = Sent::never;  // the start was lost: it may be sent again
-            m.wants_orders = true;
+            // Only an answer that did not arrive loses a start: the machine is to show the next.
+            lost = lost || (source == Source::checkin && !m.in_direct);
+            ledger_.want_orders(m);
         }
     }
+    if (lost) ++m.fence;
     for (const auto& key : gone) ledger_.remove(m, key);
 }
 
@@ -256,9 +323,9 @@
     const bool sure = m.shown == epoch(m);
     // An attempt is cleared only when nothing still under way could start it once more.
     if (sure && !m.in_direct) {
-        const auto upto = ledger_.committed();
         for (const auto& e : m.exited) {
-            if (e.outcome <= upto) out.push_back({Verb::clear, e.task, e.attempt, 0});
+            if (ledger_.committed(e.record, e.outcome))
+                out.push_back({Verb::clear, e.task, e.attempt, 0});
         }
     }
     for (const auto& [task, attempt] : m.strays) out.push_back({Verb::halt, task, attempt, 0});
@@ -276,6 +343,7 @@
         if (p.seen || p.sent == Sent::settled) continue;
         out.push_back({Verb::start, p.ref(), p.attempt, 0});
         p.sent = direct ? Sent::direct : Sent::checkin;
+        p.tenure = std::max(p.tenure, m.last.tenure);
     }
     return out;
 }
@@ -290,7 +358,6 @@
 }
 
 void Workers::send_direct(Machine& m) {
-    m.wants_orders = false;
     auto out = orders(m, true);
     const bool urgent =
         std::any_of(out.begin(), out.end(), [](const Order& o) { return o.verb != Verb::clear; });
@@ -311,7 +378,7 @@
     for (auto& [key, p] : m->tasks) {
         if (p.sent == Sent::direct) p.sent = unexecuted ? Sent::never : Sent::settled;
     }
-    m->wants_orders = true;
+    ledger_.want_orders(*m);
     if (reply.status == 200 || reply.status == 409) {
         try {
             const auto doc = wire::Document::parse(reply.body);
@@ -350,16 +417,36 @@
     for (const auto& key : gone) ledger_.remove(m, key);
 }
 
+// Work that a deaf machine certainly has not got goes elsewhere.
+void Workers::give_up_on_deaf(Machine& m) {
+    if (!deaf(m)) return;
+    std::vector<PlacementKey> unsent;
+    for (const auto& [key, p] : m.tasks) {
+        if (p.committed && p.sent == Sent::never && !p.seen) unsent.push_back(key);
+    }
+    for (const auto& key : unsent) ledger_.remove(m, key);
+}
+
 void Workers::tick() {
-    for (auto& [host, m] : ledger_.machines()) {
-        expire_leases(m);
-        if (!m.wants_orders) continue;
-        drop_unsent(m);
-        if (!m.reported || m.in_direct || m.deleting) continue;
-        if (port_.now() >= m.direct_after) {
-            send_direct(m);
+    const auto now = port_.now();
+    if (now >= next_sweep_) {
+        next_sweep_ = now + kSweepEvery;
+        std::erase_if(strangers_, [&](const auto& x) { return now - x.second > kForgetStrangers; });
+        for (auto& [host, m] : ledger_.machines()) {
+            expire_leases(m);
+            give_up_on_deaf(m);
+        }
+    }
+    for (auto* m : ledger_.take_wanting()) {
+        m->wants_orders = false;
+        drop_unsent(*m);
+        if (!m->reported || m->deleting || deaf(*m)) continue;
+        if (m->in_direct) continue;  // its answer wants orders again
+        if (now >= m->direct_after) {
+            send_direct(*m);
         } else {
-            port_.wake_at(m.direct_after);
+            ledger_.want_orders(*m);
+            port_.wake_at(m->direct_after);
         }
     }
 }
--- a/src/workers/workers.hpp
+++ b/src/workers/workers.hpp
@@ -3,6 +3,8 @@
 // Proofs that a recorded placement is not on its machine (any one of them):
 //  - a report newer than any before it, made after the worker has seen this machine's current
 //    epoch, that lacks the task or shows it exited (see reconcile());
+//  - a report of a later session than the one it was sent to, if only this term can have sent it
+//    there: the worker forgets its tasks when its lease ends (see reconcile());
 //  - `lease_s` plus drift after the last reply, once the worker has itself shown an epoch of this
 //    term, so that no earlier holder can have renewed its lease (see expire_leases());
 //  - the cloud says `failed`, or has answered a deletion with 200 (see fleet/).
@@ -38,11 +40,16 @@
     void reset();
 
     Epoch epoch(const core::Machine& machine) const;
-    // A machine that can be given work now.
+    // A machine that can be given work now. It has shown an epoch of this term: a late copy of a
+    // report could not, so it is there, and its answers reach it.
     bool usable(const core::Machine& machine) const;
     bool silent(const core::Machine& machine, Millis limit) const;
     // Two reports have not come.
     bool late(const core::Machine& machine) const;
+    // Its reports arrive, but it heeds no answer.
+    bool deaf(const core::Machine& machine) const;
+    // For how long at least.
+    Millis deaf_for(const core::Machine& machine) const;
     void halt(core::Machine& machine, core::Placement& placement, double drain_s);
     // The cloud has taken the machine away at the service's wish: late reports must not revive it.
     void deleted(const HostName& host);
@@ -62,6 +69,8 @@
     void direct_done(const HostName& host, const core::HttpReply& reply);
     void expire_leases(core::Machine& machine);
     void drop_unsent(core::Machine& machine);
+    bool greet_stranger(RequestId id, const wire::Report& report);
+    void give_up_on_deaf(core::Machine& machine);
 
     core::Port& port_;
     cluster::Election& election_;
@@ -69,6 +78,8 @@
     const core::Config& config_;
     std::function<void(const Finished&)> finished_;
     std::map<HostName, Instant> deleted_;
+    std::map<HostName, Instant> strangers_;  // unknown hosts, and when they were first answered
+    Instant next_sweep_{};
 };
 
 }  // namespace dunebridge::workers
--- a/tests/decisions_test.cpp
+++ b/tests/decisions_test.cpp
@@ -8,44 +8,48 @@
 namespace dunebridge {
 namespace {
 
-scheduler::Room room(double total, double free, bool image = false) {
+using Order = std::vector<std::size_t>;
+
+scheduler::Room room(double total, double free) {
     scheduler::Room r;
     r.total = {total, 0, total * 4};
     r.free = r.later = {free, 0, free * 4};
-    r.has_image = image;
     return r;
 }
 const auto any = [](std::size_t) { return true; };
+const auto none = [](std::size_t) { return false; };
 
-TEST(BestFit, TakesTheFullestThatFits) {
+TEST(BestFit, TheFullestThatFitsFirst) {
     const std::vector<scheduler::Room> rooms{room(8, 8), room(8, 1), room(8, 3), room(8, 5)};
-    EXPECT_EQ(scheduler::best_fit(rooms, {2, 0, 4}, any), 2u);
-    EXPECT_EQ(scheduler::best_fit(rooms, {9, 0, 4}, any), std::nullopt);
-    EXPECT_EQ(scheduler::best_fit(rooms, {2, 0, 4}, [](std::size_t i) { return i != 2; }), 3u);
+    EXPECT_EQ(scheduler::best_fit(rooms, {2, 0, 4}, any, none), (Order{2, 3, 0}));
+    EXPECT_EQ(scheduler::best_fit(rooms, {9, 0, 4}, any, none), Order{});
+    EXPECT_EQ(scheduler::best_fit(
+                  rooms, {2, 0, 4}, [](std::size_t i) { return i != 2; }, none),
+              (Order{3, 0}));
 }
 
 TEST(BestFit, MemoryCountsToo) {
     const std::vector<scheduler::Room> rooms{room(8, 2), room(8, 8)};
-    EXPECT_EQ(scheduler::best_fit(rooms, {1, 0, 16}, any), 1u);
+    EXPECT_EQ(scheduler::best_fit(rooms, {1, 0, 16}, any, none), Order{1});
 }
 
 TEST(BestFit, AnImageBreaksTies) {
-    const std::vector<scheduler::Room> rooms{room(8, 4), room(8, 4, true)};
-    EXPECT_EQ(scheduler::best_fit(rooms, {1, 0, 1}, any), 1u);
+    const std::vector<scheduler::Room> rooms{room(8, 4), room(8, 4)};
+    EXPECT_EQ(scheduler::best_fit(rooms, {1, 0, 1}, any, [](std::size_t i) { return i == 1; }),
+              (Order{1, 0}));
 }
 
 TEST(BestFit, RoomThatIsPromisedIsNotGivenAway) {
     std::vector<scheduler::Room> rooms{room(8, 4)};
     rooms[0].later = {1, 0, 32};
-    EXPECT_EQ(scheduler::best_fit(rooms, {2, 0, 1}, any), std::nullopt);
+    EXPECT_EQ(scheduler::best_fit(rooms, {2, 0, 1}, any, none), Order{});
 }
 
 TEST(PromisedFit, TheEarliestFinishRanksFirst) {
     std::vector<scheduler::Room> rooms{room(8, 0), room(8, 0)};
     for (auto& r : rooms) r.later = {4, 0, 16};
-    rooms[0].earliest_s = 9;
-    rooms[1].earliest_s = 3;
-    EXPECT_EQ(scheduler::promised_fit(rooms, {2, 0, 1}, any), 1u);
+    const auto earliest = [](std::size_t i) { return i == 0 ? 9.0 : 3.0; };
+    EXPECT_EQ(scheduler::promised_fit(rooms, {2, 0, 1}, any, earliest), (Order{1, 0}));
 }
 
 fleet::SizingInput input() {
@@ -58,8 +62,7 @@
 
 fleet::Demand demand(double tasks, double cores, double seconds) {
     fleet::Demand d;
-    d.cores = cores;
-    d.ram_gb = cores;
+    d.need = {cores, 0, cores};
     d.tasks = tasks;
     d.seconds = seconds;
     d.spot_allowed = true;
--- a/tests/sim/state_stand_in.cpp
+++ b/tests/sim/state_stand_in.cpp
@@ -20,6 +20,36 @@
 
 std::uint64_t number(const std::string& s) { return s.empty() ? 0 : std::stoull(s); }
 
+// Sizes are counted in JSON.
+std::size_t json_size(const msgpack::object& o) {
+    switch (o.type) {
+        case msgpack::type::MAP: {
+            std::size_t n = 2;
+            for (std::uint32_t i = 0; i < o.via.map.size; ++i) {
+                n += json_size(o.via.map.ptr[i].key) + json_size(o.via.map.ptr[i].val) + 2;
+            }
+            return n;
+        }
+        case msgpack::type::ARRAY: {
+            std::size_t n = 2;
+            for (std::uint32_t i = 0; i < o.via.array.size; ++i) {
+                n += json_size(o.via.array.ptr[i]) + 1;
+            }
+            return n;
+        }
+        case msgpack::type::STR:
+            return o.via.str.size + 2;
+        case msgpack::type::POSITIVE_INTEGER:
+            return std::to_string(o.via.u64).size();
+        default:
+            return 5;
+    }
+}
+
+std::size_t json_size(const std::string& packed) {
+    return json_size(msgpack::unpack(packed.data(), packed.size()).get());
+}
+
 }  // namespace
 
 std::string StateStandIn::value(const std::string& key) const {
@@ -27,6 +57,34 @@
     return it == keys_.end() ? std::string() : it->second.value;
 }
 
+std::map<std::string, std::string> StateStandIn::values(const std::string& prefix) const {
+    std::map<std::string, std::string> out;
+    for (auto it = keys_.lower_bound(prefix); it != keys_.end(); ++it) {
+        if (!it->first.starts_with(prefix)) break;
+        out.emplace(it->first, it->second.value);
+    }
+    return out;
+}
+
+bool StateStandIn::Bucket::take(double n, double rate, Instant now) {
+    if (tokens < 0) tokens = rate;
+    tokens = std::min(rate, tokens + rate * to_seconds(now - last));
+    last = now;
+    if (tokens < n) return false;
+    tokens -= n;
+    return true;
+}
+
+void StateStandIn::count_changes(std::size_t n) {
+    changes_made_ += n;
+    last_second_.emplace_back(clock_.now(), n);
+    std::erase_if(last_second_,
+                  [&](const auto& c) { return c.first <= clock_.now() - Millis(1000); });
+    double sum = 0;
+    for (const auto& [at, count] : last_second_) sum += static_cast<double>(count);
+    most_in_a_second_ = std::max(most_in_a_second_, sum);
+}
+
 void StateStandIn::set_outage(bool outage) {
     outage_ = outage;
     if (outage) return;
@@ -41,6 +99,12 @@
         reply({503, {}});
         return;
     }
+    ++requests_;
+    if (!request_bucket_.take(1, limits_.rps, clock_.now())) {
+        ++refusals_;
+        reply({429, {}});
+        return;
+    }
     expire();
     const auto question = target.find('?');
     const auto path = target.substr(0, question);
@@ -140,6 +204,22 @@
     const auto doc = Document::parse(body);
     const auto guards = doc->root()["guards"];
     const auto writes = doc->root()["writes"];
+    bool too_large = writes.size() > limits_.txn_ops || guards.size() > 4 * limits_.txn_ops ||
+                     json_size(body) > 64 * 1024;
+    for (std::size_t i = 0; i < writes.size(); ++i) {
+        const auto value = writes.at(i)["value"];
+        if (!value.is_null()) too_large |= json_size(value.pack()) > limits_.value_bytes;
+    }
+    if (too_large) {
+        ++violations_;
+        reply({400, {}});
+        return;
+    }
+    if (!change_bucket_.take(static_cast<double>(writes.size()), limits_.write_rps, clock_.now())) {
+        ++refusals_;
+        reply({429, {}});
+        return;
+    }
     std::vector<std::string> failed;
     for (std::size_t i = 0; i < guards.size(); ++i) {
         const auto key = guards.at(i)["key"].need_text("key");
@@ -162,7 +242,7 @@
         reply({409, w.take()});
         return;
     }
-    most_writes_ = std::max(most_writes_, writes.size());
+    count_changes(writes.size());
     if (writes.size() > 0) ++rev_;
     for (std::size_t i = 0; i < writes.size(); ++i) {
         const auto v = writes.at(i);
--- a/tests/sim/state_stand_in.hpp
+++ b/tests/sim/state_stand_in.hpp
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -23,7 +24,21 @@
     void set_outage(bool outage);
     // The packed value of a key, empty if there is none.
     std::string value(const std::string& key) const;
-    std::size_t most_writes() const { return most_writes_; }
+    // The packed values of all keys with the prefix.
+    std::map<std::string, std::string> values(const std::string& prefix) const;
+    // The service's limits, enforced as the page says; what went over them is kept in refusals().
+    struct Limits {
+        double rps = 200;
+        double write_rps = 80;
+        std::size_t txn_ops = 48;
+        std::size_t value_bytes = 16 * 1024;
+    };
+    void set_limits(const Limits& limits) { limits_ = limits; }
+    std::uint64_t changes() const { return changes_made_; }
+    std::uint64_t requests() const { return requests_; }
+    std::uint64_t refusals() const { return refusals_; }      // 429
+    std::uint64_t violations() const { return violations_; }  // over a size limit
+    double most_changes_in_a_second() const { return most_in_a_second_; }
 
   private:
     struct Entry {
@@ -57,11 +72,27 @@
     void notify();
     bool answer(Watch& watch, bool force);
 
+    // Tokens that refill with time, with one second's worth of burst.
+    struct Bucket {
+        double tokens = -1;
+        Instant last{};
+        bool take(double n, double rate, Instant now);
+    };
+    void count_changes(std::size_t n);
+
     Clock& clock_;
+    Limits limits_;
+    Bucket request_bucket_;
+    Bucket change_bucket_;
+    std::uint64_t changes_made_ = 0;
+    std::uint64_t requests_ = 0;
+    std::uint64_t refusals_ = 0;
+    std::uint64_t violations_ = 0;
+    double most_in_a_second_ = 0;
+    std::vector<std::pair<Instant, std::size_t>> last_second_;
     bool outage_ = false;
     std::uint64_t rev_ = 1;
     std::uint64_t next_lease_ = 0;
-    std::size_t most_writes_ = 0;
     std::map<std::string, Entry> keys_;
     std::map<std::uint64_t, Lease> leases_;
     std::vector<Change> changes_;
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -551,20 +551,27 @@
 // What everything else rests on: a task on a machine is in the ledger, with its attempt. It may
 // be missing only once it is proved gone.
 void World::check_ledger() {
-    for (auto& [host, worker] : workers_) {
-        const auto present = worker->present();
-        if (present.empty()) continue;
-        const auto value = state_.value("mach/" + host.get());
+    using Recorded = std::tuple<std::string, std::string, std::uint64_t, std::uint64_t>;
+    std::set<Recorded> recorded;  // host, job, index, attempt
+    for (const auto& [key, value] : state_.values("prog/")) {
         const auto doc = wire::Document::parse(value);
-        std::set<std::tuple<std::string, std::uint64_t, std::uint64_t>> recorded;
-        const auto tasks = doc ? doc->root()["tasks"] : wire::Value();
-        for (std::size_t i = 0; i < tasks.size(); ++i) {
-            const auto t = tasks.at(i);
-            recorded.emplace(t.at(0).need_text("job"), t.at(1).need_count("index"),
-                             t.at(2).need_count("try"));
+        const auto record = doc->root();
+        const auto job = key.substr(5, key.rfind('/') - 5);
+        const auto hosts = record["tasks"];
+        for (std::size_t h = 0; h < hosts.size(); ++h) {
+            const auto entry = hosts.at(h);
+            for (std::size_t i = 1; i + 1 < entry.size(); i += 2) {
+                recorded.emplace(
+                    entry.at(0).need_text("host"), job,
+                    record["from"].need_count("from") + entry.at(i).need_count("index"),
+                    record["base"].need_count("base") + entry.at(i + 1).need_count("try"));
+            }
         }
-        for (const auto& task : present) {
-            if (!recorded.contains({task.job.get(), task.index, worker->attempt(task).get()})) {
+    }
+    for (auto& [host, worker] : workers_) {
+        for (const auto& task : worker->present()) {
+            const Recorded r{host.get(), task.job.get(), task.index, worker->attempt(task).get()};
+            if (!recorded.contains(r)) {
                 broken("unrecorded", task.str() + " is on " + host.get());
             }
         }
