--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -222,6 +222,7 @@
 
 // A leader that no worker reaches, directly or through its peers, is of no use: another may be.
 void Core::resign_if_deaf() {
+    if (config_.known.empty()) return;
     // Having heard none in this term at all is no sign: all of them may be gone.
     Instant heard{};
     for (const auto& [host, m] : ledger_.machines()) {
--- a/src/workers/workers.cpp
+++ b/src/workers/workers.cpp
@@ -243,7 +243,11 @@
                 continue;
             }
         }
-        if (!sure || p.sent == Sent::never || p.sent == Sent::direct) continue;
+        if (p.sent == Sent::never || p.sent == Sent::direct) continue;
+        // A check-in's answer is read before the next check-in is made, or never: whatever epoch
+        // that one shows, a start it lacks was lost.
+        const bool lost_start = !p.seen && p.sent == Sent::checkin && source == Source::checkin;
+        if (!sure && !lost_start) continue;
         const bool listed = std::any_of(r.tasks.begin(), r.tasks.end(), [&](const auto& t) {
             return t.attempt == p.attempt && t.task.index == p.index &&
                    t.task.job == p.job->spec.id;
@@ -253,7 +257,7 @@
             continue;
         }
         if (p.sent == Sent::checkin && source == Source::direct) continue;
-        if (p.seen || must_halt(p)) {
+        if (sure && (p.seen || must_halt(p))) {
             gone.push_back(key);
         } else {
             p.sent = Sent::never;  // the start was lost: it may be sent again
@@ -340,7 +344,7 @@
             }
             continue;
         }
-        if (p.seen || p.sent == Sent::settled) continue;
+        if (p.seen || p.sent == Sent::settled || deaf(m)) continue;
         out.push_back({Verb::start, p.ref(), p.attempt, 0});
         p.sent = direct ? Sent::direct : Sent::checkin;
         p.tenure = std::max(p.tenure, m.last.tenure);
--- /dev/null
+++ b/tests/scripted_test.cpp
@@ -0,0 +1,286 @@
+// What must not happen between two messages: each test plays the workers by hand.
+#include <gtest/gtest.h>
+
+#include "sim/script.hpp"
+
+namespace dunebridge::sim {
+namespace {
+
+using wire::ExitReason;
+using wire::TaskPhase;
+using wire::Verb;
+using Hosts = std::vector<std::string>;
+
+wire::JobSpec job(int n, std::uint32_t shards = 1) {
+    wire::JobSpec s;
+    s.id = JobId(fmt::format("req-{:06}", n));
+    s.jobclass = "short";
+    s.owner = "free";
+    s.shards = shards;
+    s.cores = 1;
+    s.ram_gb = 1;
+    s.bundle = "img";
+    s.size_gb = 1;
+    s.expected_s = 10;
+    s.reclaimable = true;
+    return s;
+}
+
+const wire::Order* find(const wire::Commands& commands, Verb verb, const TaskRef& task) {
+    for (const auto& o : commands.orders) {
+        if (o.verb == verb && o.task == task) return &o;
+    }
+    return nullptr;
+}
+
+wire::TaskReport running(const wire::Order& order) {
+    wire::TaskReport t;
+    t.task = order.task;
+    t.attempt = order.attempt;
+    t.phase = TaskPhase::running;
+    return t;
+}
+
+// The worker's first reports, after which it has seen the leader's epoch.
+void greet(Script& s, Played& w) {
+    w.report.epoch = s.checkin(w.next()).second.epoch;
+    s.run(Millis(500));
+    s.checkin(w.next());
+    s.run(Millis(300));
+}
+
+// Runs on while the worker reports every second and hears nothing.
+void report_unheard(Script& s, Played& w, int seconds) {
+    for (int i = 0; i < seconds && !s.returned(w.report.host); ++i) {
+        s.checkin(w.next());
+        s.run(Millis(1000));
+    }
+}
+
+// The start is on its way twice, in a check-in's answer and in a direct command still under way.
+// Clearing the attempt meanwhile would let the late command start it once more.
+TEST(Scripted, NothingIsClearedWhileADirectCommandIsUnderWay) {
+    Script s(1);
+    s.run(Millis(3000));
+    const auto first = job(1);
+    const auto second = job(2);
+    ASSERT_EQ(s.submit(first), 201);
+    auto w = s.machine(0);
+    greet(s, w);
+    ASSERT_EQ(s.directs().size(), 1u);
+    ASSERT_EQ(s.submit(second), 201);
+    s.run(Millis(250));
+    const TaskRef task{second.id, 0};
+    const auto third = s.checkin(w.next()).second;
+    const auto* start = find(third, Verb::start, task);
+    ASSERT_NE(start, nullptr);
+    const auto attempt = start->attempt;
+    w.report.tasks.push_back(running(s.directs()[0].commands.orders.at(0)));
+    s.answer(s.directs()[0], 200, w.next());
+    s.run(Millis(60));
+    ASSERT_EQ(s.directs().size(), 1u);
+    const auto under_way = s.directs()[0];
+    ASSERT_NE(find(under_way.commands, Verb::start, task), nullptr);
+
+    w.report.tasks.push_back(running({Verb::start, task, attempt}));
+    w.report.tasks.back().phase = TaskPhase::exited;
+    w.report.tasks.back().reason = ExitReason::halted;
+    s.checkin(w.next());
+    s.run(Millis(400));  // the task is placed anew, and that is on record
+    ASSERT_EQ(s.directs().size(), 1u);
+    EXPECT_EQ(find(s.checkin(w.next()).second, Verb::clear, task), nullptr);
+    s.answer(under_way, 200, w.next());
+    s.run(Millis(100));
+    ASSERT_EQ(s.directs().size(), 1u);
+    EXPECT_NE(find(s.directs()[0].commands, Verb::clear, task), nullptr);
+}
+
+// A direct command without an answer may yet start the task: what a report of the epoch before
+// lacks is no proof.
+TEST(Scripted, ReportsOfAnOlderEpochProveNothing) {
+    Script s(1);
+    s.run(Millis(3000));
+    const auto j = job(1);
+    ASSERT_EQ(s.submit(j), 201);
+    auto w = s.machine(0);
+    greet(s, w);
+    ASSERT_EQ(s.directs().size(), 1u);
+    s.run(Millis(1600));  // given up: the leader raises the epoch
+    ASSERT_EQ(s.directs().size(), 0u);
+    ASSERT_EQ(s.ask("POST", "/v1/jobs/" + j.id.get() + "/abort", {}).status, 200);
+    s.run(Millis(200));
+    const auto next = s.checkin(w.next()).second.epoch;
+    EXPECT_GT(next, w.report.epoch);
+    s.run(Millis(2500));
+    EXPECT_EQ(s.recorded_on(j.id), Hosts{w.report.host.get()});
+    w.report.epoch = next;
+    s.checkin(w.next());
+    s.run(Millis(2500));
+    EXPECT_TRUE(s.state().values("prog/").empty());
+}
+
+// Reports arrive from a machine that no answer and no command reaches.
+TEST(Scripted, ADeafMachineGetsNoWorkAndIsReturned) {
+    Script s(1);
+    s.run(Millis(3000));
+    const auto early = job(1);
+    const auto late = job(2);
+    ASSERT_EQ(s.submit(early), 201);
+    auto w = s.machine(0);
+    greet(s, w);
+    ASSERT_EQ(s.directs().size(), 1u);
+    const auto host = w.report.host;
+    report_unheard(s, w, 6);
+    ASSERT_EQ(s.submit(late), 201);
+    report_unheard(s, w, 4);
+    EXPECT_EQ(s.recorded_on(late.id), Hosts{});
+    // What was sent may have arrived: it moves by proof only.
+    EXPECT_EQ(s.recorded_on(early.id), Hosts{host.get()});
+    report_unheard(s, w, 20);
+    EXPECT_TRUE(s.returned(host));
+    auto other = s.machine(1);
+    greet(s, other);
+    EXPECT_EQ(s.recorded_on(early.id), Hosts{other.report.host.get()});
+    EXPECT_EQ(s.recorded_on(late.id), Hosts{other.report.host.get()});
+}
+
+// A start whose answer was lost is proved lost by the next report; a machine that then heeds
+// nothing must not keep the task.
+TEST(Scripted, WorkThatADeafMachineCannotHaveGoesElsewhere) {
+    Script s(2);
+    s.run(Millis(3000));
+    auto big = job(1, 2);
+    big.cores = 10;  // one machine each
+    big.expected_s = 200;
+    ASSERT_EQ(s.submit(big), 201);
+    auto w = s.machine(0);
+    auto other = s.machine(1);
+    greet(s, other);
+    const auto a = s.directs().at(0).commands.orders.at(0);
+    other.report.tasks.push_back(running(a));
+    s.answer(s.directs()[0], 200, other.next());
+    greet(s, w);
+    // No connection to it can be made, and the answers to its reports are lost.
+    for (int i = 0; i < 8; ++i) {
+        while (!s.directs().empty()) s.answer(s.directs()[0], -1, {});
+        s.checkin(w.next());
+        s.run(Millis(1000));
+    }
+    s.run(Millis(2000));
+    EXPECT_EQ(s.recorded_on(big.id), Hosts{other.report.host.get()});
+    EXPECT_FALSE(s.returned(w.report.host));
+}
+
+// Late copies of reports count neither for the lease, nor as a sign of life, nor as proof.
+TEST(Scripted, LateCopiesHaveNoEffect) {
+    Script s(1);
+    s.run(Millis(3000));
+    const auto j = job(1);
+    ASSERT_EQ(s.submit(j), 201);
+    auto w = s.machine(0);
+    const auto oldest = wire::encode(w.report);
+    greet(s, w);
+    const auto a = s.directs().at(0).commands.orders.at(0);
+    const auto without = w.next();
+    s.checkin(without);
+    w.report.tasks.push_back(running(a));
+    s.answer(s.directs()[0], 200, w.next());
+    const auto with = w.next();
+    ASSERT_EQ(s.checkin(with).first, 200);
+    // The machine is silent from now on; only copies come, also of reports without the task.
+    for (int i = 0; i < 14; ++i) {
+        EXPECT_NE(s.checkin(i % 2 ? with : without).first, 200);
+        s.run(Millis(1000));
+        ASSERT_EQ(s.recorded_on(j.id), Hosts{w.report.host.get()});
+    }
+    EXPECT_FALSE(s.logged("event=lease_over"));
+    s.run(Millis(2500));
+    EXPECT_TRUE(s.logged("event=lease_over"));
+    s.run(Millis(20000));
+    ASSERT_TRUE(s.returned(w.report.host));
+
+    // Nor do they bring the machine back, now or under a later leader, which does not know it.
+    EXPECT_NE(s.checkin(with).first, 200);
+    s.run(Millis(9000));
+    s.restart();
+    s.run(Millis(5000));
+    ASSERT_TRUE(s.leads());
+    const auto machines = s.state().values("rent/");
+    for (const auto& copy : {oldest, without, with}) {
+        s.checkin(copy);
+        s.run(Millis(2500));
+    }
+    EXPECT_EQ(s.recorded_on(j.id), Hosts{});
+    for (const auto& [key, value] : s.state().values("rent/")) {
+        EXPECT_EQ(value.find(w.report.host.get()), std::string::npos) << key;
+    }
+}
+
+// A worker forgets its tasks with its session; a copy of an earlier session does not bring them
+// back.
+TEST(Scripted, ALaterSessionProvesTheEarlierOnesTasksGone) {
+    Script s(1);
+    s.run(Millis(3000));
+    const auto j = job(1);
+    ASSERT_EQ(s.submit(j), 201);
+    auto w = s.machine(0);
+    greet(s, w);
+    const auto a = s.directs().at(0).commands.orders.at(0);
+    w.report.tasks.push_back(running(a));
+    const auto earlier = w.next();
+    s.checkin(earlier);
+    s.run(Millis(2000));  // the command is given up: the epoch rises, the worker does not see it
+    w.report.tasks.clear();
+    ++w.report.order.tenure;
+    const auto orders = s.checkin(w.next()).second;
+    s.run(Millis(400));
+    EXPECT_NE(s.checkin(earlier).first, 200);
+    w.report.epoch = orders.epoch;
+    const auto again = s.checkin(w.next()).second;
+    const auto* start = find(again, Verb::start, a.task);
+    if (!start && !s.directs().empty()) start = find(s.directs()[0].commands, Verb::start, a.task);
+    ASSERT_NE(start, nullptr);
+    EXPECT_NE(start->attempt, a.attempt);
+    EXPECT_FALSE(s.returned(w.report.host));
+}
+
+TEST(Scripted, AJobOfAHundredThousandTasksIsAcceptedAndStaysKnown) {
+    Script s(1);
+    s.run(Millis(3000));
+    const auto j = job(1, 100000);
+    ASSERT_EQ(s.submit(j), 201);
+    auto w = s.machine(0);
+    greet(s, w);
+    EXPECT_EQ(s.phase(j.id), "pending");
+    s.restart();
+    s.run(Millis(5000));
+    ASSERT_TRUE(s.leads());
+    EXPECT_EQ(s.submit(j), 200);
+    greet(s, w);
+    EXPECT_EQ(s.phase(j.id), "pending");
+    EXPECT_FALSE(s.recorded_on(j.id).empty());
+    EXPECT_EQ(s.ask("POST", "/v1/jobs/" + j.id.get() + "/abort", {}).status, 200);
+    EXPECT_EQ(s.phase(j.id), "withdrawn");
+    EXPECT_EQ(s.state().violations(), 0u);
+}
+
+// A record that this version cannot read must not be passed over: the job in it would be lost.
+TEST(Scripted, ARecordOfAnUnknownVersionStopsTheLoad) {
+    Script s(1);
+    s.run(Millis(3000));
+    const auto j = job(1);
+    ASSERT_EQ(s.submit(j), 201);
+    s.state().handle(
+        "POST", "/multi",
+        wire::encode_multi({}, {{"prog/" + j.id.get() + "/0",
+                                 wire::Writer().map(1).text("v").count(99).take(), std::nullopt}}),
+        [](const core::HttpReply& r) { ASSERT_EQ(r.status, 200); });
+    s.restart();
+    s.run(Millis(6000));
+    EXPECT_FALSE(s.leads());
+    EXPECT_TRUE(s.logged("event=bad_record key=prog/req-000001/0"));
+    EXPECT_EQ(s.phase(j.id), "pending");
+}
+
+}  // namespace
+}  // namespace dunebridge::sim
--- /dev/null
+++ b/tests/sim/script.cpp
@@ -0,0 +1,156 @@
+#include "sim/script.hpp"
+
+#include <algorithm>
+
+namespace dunebridge::sim {
+
+using core::HttpReply;
+using core::Service;
+
+namespace {
+constexpr Millis kTurn{5};
+constexpr std::int64_t kWallStart = 1700000000000;
+}  // namespace
+
+std::string Played::next() {
+    ++report.order.tick;
+    return wire::encode(report);
+}
+
+const core::Config& Script::config() {
+    static const core::Config config = [] {
+        core::Config c;
+        c.name = NodeName("node-0");
+        c.zones = {"a"};
+        c.teams = {{"free", 0, 0, 0, 0}};
+        c.report = Millis(3000);
+        c.lease = Millis(15000);
+        c.cancel = Millis(40000);
+        c.list_lag = Millis(4000);
+        c.cloud_rps = 5;
+        return c;
+    }();
+    return config;
+}
+
+Script::Script(std::size_t most_machines)
+    : state_(clock_),
+      cloud_(clock_, {{"big", 16, 0, 64, 50, 1, 0.9, 0.3, 5, {"a"}}}, most_machines, Millis(4000),
+             5,
+             {[this](const wire::Rental& row) { up_.push_back(row); }, [](const HostName&) {},
+              [this](const HostName& host) { returned_.insert(host); }}) {
+    restart();
+}
+
+void Script::restart() {
+    ++incarnation_;
+    queue_.clear();
+    directs_.clear();
+    core_ = std::make_unique<core::Core>(config(), incarnation_, core::LogLevel::debug);
+}
+
+void Script::run(Millis span) {
+    const auto end = clock_.now() + span;
+    while (clock_.now() < end) {
+        const auto turn = std::min(end, clock_.now() + kTurn);
+        while (clock_.step(turn)) {
+        }
+        step();
+    }
+}
+
+void Script::step() {
+    std::vector<core::Command> batch;
+    batch.swap(queue_);
+    auto effects = core_->apply(std::move(batch), clock_.now(),
+                                kWallStart + clock_.now().time_since_epoch().count());
+    for (auto& line : effects.logs) logs_.push_back(std::move(line.text));
+    for (auto& a : effects.answers) answers_.emplace(a.id, a);
+    for (auto& c : effects.calls) call(std::move(c));
+}
+
+void Script::call(core::HttpCall c) {
+    const auto done = [this, id = c.id, incarnation = incarnation_](const HttpReply& reply) {
+        if (incarnation == incarnation_) queue_.push_back(core::CallDone{id, reply});
+    };
+    if (c.service == Service::state) {
+        state_.handle(c.method, c.target, c.body, done);
+    } else if (c.service == Service::cloud) {
+        done(cloud_.handle(c.method, c.target, c.body));
+    } else {
+        const auto doc = wire::Document::parse(c.body);
+        directs_.push_back({c.id, c.endpoint, wire::decode_commands(doc->root())});
+        clock_.after(c.timeout, [this, id = c.id, done] {
+            if (std::erase_if(directs_, [&](const Direct& d) { return d.id == id; }) > 0) {
+                done({0, {}});
+            }
+        });
+    }
+}
+
+core::Answer Script::ask(const std::string& method, const std::string& target,
+                         const std::string& body) {
+    const RequestId id(++next_request_);
+    queue_.push_back(core::Request{id, core::Plane::front, method, target, body, false});
+    for (int i = 0; i < 600 && !answers_.contains(id); ++i) run(kTurn);
+    return answers_.contains(id) ? answers_.at(id) : core::Answer{id, 0, {}, 0};
+}
+
+int Script::submit(const wire::JobSpec& job) {
+    wire::Writer w;
+    wire::encode_job(w, job);
+    return ask("POST", "/v1/jobs", w.take()).status;
+}
+
+std::string Script::phase(const JobId& id) {
+    const auto answer = ask("GET", "/v1/jobs/" + id.get(), {});
+    const auto doc = wire::Document::parse(answer.body);
+    if (answer.status != 200 || !doc) return {};
+    return doc->root()["phase"].need_text("phase");
+}
+
+std::pair<int, wire::Commands> Script::checkin(const std::string& report) {
+    const auto a = ask("POST", "/checkin", report);
+    const auto doc = wire::Document::parse(a.body);
+    return {a.status,
+            a.status == 200 && doc ? wire::decode_commands(doc->root()) : wire::Commands()};
+}
+
+void Script::answer(const Direct& direct, int status, const std::string& report) {
+    const auto id = direct.id;
+    std::erase_if(directs_, [&](const Direct& d) { return d.id == id; });
+    queue_.push_back(core::CallDone{id, {status, report}});
+}
+
+Played Script::machine(std::size_t n) {
+    for (int i = 0; i < 600 && up_.size() <= n; ++i) run(Millis(100));
+    Played p;
+    if (up_.size() <= n) return p;
+    const auto& row = up_[n];
+    p.report.host = row.host;
+    p.report.endpoint = row.endpoint;
+    p.report.shape = row.shape;
+    p.report.region = row.region;
+    p.report.reclaimable = row.reclaimable;
+    p.report.order.tenure = 1;
+    return p;
+}
+
+bool Script::logged(const std::string& what) const {
+    return std::any_of(logs_.begin(), logs_.end(),
+                       [&](const auto& line) { return line.find(what) != std::string::npos; });
+}
+
+std::vector<std::string> Script::recorded_on(const JobId& id) const {
+    std::vector<std::string> out;
+    for (const auto& [key, value] : state_.values("prog/" + id.get() + "/")) {
+        const auto doc = wire::Document::parse(value);
+        const auto hosts = doc->root()["tasks"];
+        for (std::size_t h = 0; h < hosts.size(); ++h) {
+            out.push_back(hosts.at(h).at(0).need_text("host"));
+        }
+    }
+    return out;
+}
+
+}  // namespace dunebridge::sim
--- /dev/null
+++ b/tests/sim/script.hpp
@@ -0,0 +1,77 @@
+// One controller against the stand-ins of the state service and the cloud, in virtual time; the
+// test itself plays the workers, message by message. For what must not happen between two messages.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/core.hpp"
+#include "sim/clock.hpp"
+#include "sim/cloud_stand_in.hpp"
+#include "sim/state_stand_in.hpp"
+
+namespace dunebridge::sim {
+
+// A worker as the test plays it: what its next report says.
+struct Played {
+    wire::Report report;
+    std::string next();  // its next report, packed
+};
+
+class Script {
+  public:
+    explicit Script(std::size_t most_machines);
+
+    void run(Millis span);
+    // A new incarnation of the controller, with nothing but the state service's word.
+    void restart();
+
+    core::Answer ask(const std::string& method, const std::string& target, const std::string& body);
+    int submit(const wire::JobSpec& job);
+    std::string phase(const JobId& id);  // empty: no answer that tells
+    // The answer to a check-in, and what it orders.
+    std::pair<int, wire::Commands> checkin(const std::string& report);
+
+    // Direct commands that have no answer yet.
+    struct Direct {
+        CallId id;
+        std::string endpoint;
+        wire::Commands commands;
+    };
+    const std::vector<Direct>& directs() const { return directs_; }
+    void answer(const Direct& direct, int status, const std::string& report);
+
+    // Waits for the n-th machine to boot.
+    Played machine(std::size_t n);
+    bool returned(const HostName& host) const { return returned_.contains(host); }
+    bool logged(const std::string& what) const;
+    // Hosts on which the job's tasks are on record.
+    std::vector<std::string> recorded_on(const JobId& id) const;
+    bool leads() const { return core_->leads(); }
+    StateStandIn& state() { return state_; }
+
+    static const core::Config& config();
+
+  private:
+    void step();
+    void call(core::HttpCall call);
+
+    Clock clock_;
+    StateStandIn state_;
+    CloudStandIn cloud_;
+    std::unique_ptr<core::Core> core_;
+    std::uint64_t incarnation_ = 0;
+    std::uint64_t next_request_ = 0;
+    std::vector<core::Command> queue_;
+    std::map<RequestId, core::Answer> answers_;
+    std::vector<Direct> directs_;
+    std::vector<wire::Rental> up_;
+    std::set<HostName> returned_;
+    std::vector<std::string> logs_;
+};
+
+}  // namespace dunebridge::sim
--- a/tests/sim/worker_stand_in.cpp
+++ b/tests/sim/worker_stand_in.cpp
@@ -43,6 +43,7 @@
 
 void WorkerStandIn::check_lease() {
     if (clock_.now() - lease_from_ <= config_.lease) return;
+    for (const auto& [task, t] : tasks_) killed_ += t.phase != TaskPhase::exited ? 1 : 0;
     tasks_.clear();
     ++tenure_;
     lease_from_ = clock_.now();
--- a/tests/sim/worker_stand_in.hpp
+++ b/tests/sim/worker_stand_in.hpp
@@ -55,6 +55,7 @@
     Instant hang_until() const { return hang_until_; }
     bool gone() const { return gone_; }
     std::uint64_t serial() const { return serial_; }
+    std::size_t killed_by_lease() const { return killed_; }
 
     const HostName& host() const { return host_; }
     const std::string& region() const { return region_; }
@@ -100,6 +101,7 @@
     std::size_t node_ = 0;
     bool in_flight_ = false;
     std::uint64_t serial_ = 0;
+    std::size_t killed_ = 0;
     std::uint64_t sent_tenure_ = 0;
     Instant last_sent_{};
     Instant report_at_{};
--- a/tests/simulation_test.cpp
+++ b/tests/simulation_test.cpp
@@ -42,6 +42,71 @@
     EXPECT_EQ(world.returned_with_tasks(), 0u);
 }
 
+// A leader that loses the state service and the others, but not its workers, must not keep them:
+// they find the new leader before their leases end, and nothing late of the old one counts.
+TEST(Simulation, IsolatedLeaderLetsItsWorkersGo) {
+    Options options;
+    options.fault_every_s = 0;
+    options.jobs = 40;
+    World world(options);
+    world.run_for(Millis(70000));
+    const auto old = world.leader();
+    world.isolate_leader(Millis(60000));
+    world.run_for(Millis(14000));  // less than a lease
+    EXPECT_FALSE(world.leads(old));
+    EXPECT_NE(world.leader(), old);
+    world.run_for(Millis(36000));
+    EXPECT_EQ(world.killed_by_lease(), 0u);
+    expect_good(world);
+    EXPECT_EQ(world.terms(), 2u);
+}
+
+// A leader that is back within a fraction of a second, also while another is being elected.
+TEST(Simulation, QuickRestartsKeepTheRules) {
+    Options options;
+    options.fault_every_s = 0;
+    World world(options);
+    world.run_for(Millis(40000));
+    for (int i = 0; i < 12; ++i) {
+        world.crash_leader(Millis(60 + 40 * i));
+        world.run_for(Millis(1700 + 300 * i));
+    }
+    expect_good(world);
+    EXPECT_EQ(world.returned_with_tasks(), 0u);
+}
+
+// A large job of lower priority begins within four minutes although small urgent ones would take
+// every core all the time: waiting work ages.
+TEST(Simulation, LargeJobBeginsUnderAFlowOfUrgentOnes) {
+    Options options;
+    options.fault_every_s = 0;
+    options.urgent_flow = true;
+    options.troubles_s = 300;
+    options.machines = 2;
+    World world(options);
+    world.run_for(Millis(300000));
+    ASSERT_TRUE(world.broken_rules().empty()) << join(world.broken_rules());
+    ASSERT_TRUE(world.largest_began_s().has_value());
+    EXPECT_LT(*world.largest_began_s(), 240);
+}
+
+// Ten times the fleet and the jobs: the state service's limits are enforced by the stand-in, and
+// the changes sent to it must not grow with tasks or machines.
+TEST(Simulation, TenTimesTheSize) {
+    Options options;
+    options.seed = 7;
+    options.fault_every_s = 25;
+    options.jobs = 240;
+    options.machines = 90;
+    options.most_shards = 60;
+    World world(options);
+    expect_good(world);
+    EXPECT_GT(world.tasks_started(), 4000u);
+    EXPECT_EQ(world.state().violations(), 0u);
+    EXPECT_LE(world.state().most_changes_in_a_second(), 160);  // a burst and a second's worth
+    EXPECT_LT(static_cast<double>(world.state().changes()) / world.elapsed_s(), 20);
+}
+
 class Troubles : public testing::TestWithParam<std::uint64_t> {};
 
 TEST_P(Troubles, RulesHoldAndJobsEnd) {
