A new leader waits for idle machines to report before it takes them for stuck

Since a machine's first report is no longer on record, only "still starting after a while in this term" may mean stuck. Test: Scripted.ANewLeaderWaitsForIdleMachinesToReport, seen to fail without the change. Ruled out: the deaf and the silent path.

--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -229,7 +229,8 @@
             remove(m, "unlisted");
         } else if (!m.starting && known > kUnheardIdle + config_.list_lag) {
             remove(m, "unheard");
-        } else if (now - m.rented_at > startup * 7 / 2 + kStuckMargin) {
+        } else if (m.starting && known > kUnheardIdle &&
+                   now - m.rented_at > startup * 7 / 2 + kStuckMargin) {
             remove(m, "stuck");
         }
         return;
--- a/tests/scripted_test.cpp
+++ b/tests/scripted_test.cpp
@@ -273,6 +273,30 @@
     }
 }
 
+// docs/incidents/0004: a new leader took idle machines that it had not heard from yet for stuck.
+TEST(Scripted, ANewLeaderWaitsForIdleMachinesToReport) {
+    Script s(1);
+    s.run(Millis(3000));
+    ASSERT_EQ(s.submit(job(1)), 201);
+    auto w = s.machine(0);
+    greet(s, w);
+    w.report.tasks.push_back(running(s.directs().at(0).commands.orders.at(0)));
+    s.answer(s.directs()[0], 200, w.next());
+    for (int i = 0; i < 45; ++i) {
+        ASSERT_EQ(s.checkin(w.next()).first, 200);
+        s.run(Millis(1000));
+    }
+    w.report.tasks[0].phase = TaskPhase::exited;
+    w.report.tasks[0].reason = ExitReason::done;
+    s.checkin(w.next());
+    s.run(Millis(3000));
+    s.restart();
+    s.run(Millis(7000));
+    ASSERT_TRUE(s.leads());
+    EXPECT_FALSE(s.returned(w.report.host));
+    EXPECT_EQ(s.checkin(w.next()).first, 200);
+}
+
 // A worker forgets its tasks with its session; a copy of an earlier session does not bring them
 // back.
 TEST(Scripted, ALaterSessionProvesTheEarlierOnesTasksGone) {
