--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -29,7 +29,7 @@
 constexpr std::size_t kManySilent = 3;
 constexpr Millis kStuckMargin{20000};
 constexpr Millis kSaveMargin{3000};     // for the command to arrive, and a notice that was too long
-constexpr Millis kObserveFirst{60000};  // a new leader returns no idle machines before
+constexpr Millis kObserveFirst{20000};  // a new leader returns no idle machines before
 constexpr std::size_t kMostHosts = 100;
 constexpr std::uint64_t kMostRented = 50;
 constexpr double kLoadMemory_s = 45;
@@ -227,7 +227,7 @@
         } else if (m.missing_lists >= 2 && known > config_.list_lag * 3 + kUnheardMargin) {
             // Deleted by an earlier leader whose last word on it was lost: a ghost of the list.
             remove(m, "unlisted");
-        } else if (!m.starting && known > kUnheardIdle + config_.list_lag) {
+        } else if (!m.starting && known > kUnheardIdle) {
             remove(m, "unheard");
         } else if (m.starting && known > kUnheardIdle &&
                    now - m.rented_at > startup * 7 / 2 + kStuckMargin) {
@@ -425,7 +425,9 @@
     std::vector<Machine*> machines;
     for (auto& [host, m] : ledger_.machines()) {
         const auto* t = type(m.shape);
-        const bool available = t && !m.deleting && !m.draining && !m.taken_at;
+        // Up long ago by the list, and yet unheard of in this term: most likely gone.
+        const bool unheard = !m.reported && !m.starting && workers_.late(m);
+        const bool available = t && !m.deleting && !m.draining && !m.taken_at && !unheard;
         in.machines.push_back(
             {{m.shape, m.region, m.spot},
              t ? t->cores : 0,
