Sockets: one budget over all a node deals with, shares that nobody can take from others

The client has a cap over all addresses and closes its least recently used connection first, one client each for the state service and cloud, the peers, and the workers' commands. The server keeps shares for check-ins and users, gives the place of the longest idle connection of the group furthest over its share to a new one, bounds slow readers and writers, and listens with a queue for every worker at once. What was decided before a stand-still of the process is not carried out.

--- a/src/app/runtime.cpp
+++ b/src/app/runtime.cpp
@@ -5,17 +5,20 @@
 #include <algorithm>
 #include <chrono>
 
+#include "wire/messages.hpp"
+
 namespace dunebridge::app {
 
 namespace asio = boost::asio;
 
 namespace {
-// Sockets kept back for calls to others, and for the process itself.
-constexpr std::size_t kReservedSockets = 160;
-constexpr std::size_t kBackConnections = 64;
 // Ids of the two servers' requests never meet.
 constexpr std::uint64_t kBackIds = std::uint64_t{1} << 62;
-constexpr auto kSweepEvery = std::chrono::seconds(10);
+constexpr auto kSweepEvery = std::chrono::seconds(5);
+constexpr auto kIdleLimit = std::chrono::seconds(60);
+// Commands to one worker come in bursts; a connection kept for longer does not pay.
+constexpr auto kIdleCommands = std::chrono::seconds(20);
+constexpr Millis kIdleFront{60000};
 
 spdlog::level::level_enum to_spdlog(core::LogLevel level) {
     switch (level) {
@@ -30,18 +33,23 @@
 }  // namespace
 
 Runtime::Runtime(const core::Config& config, core::LogLevel level, std::uint64_t seed)
-    : config_(config), core_(config, seed, level) {
-    const auto most = config.fd_limit > 2 * kReservedSockets ? config.fd_limit - kReservedSockets
-                                                             : config.fd_limit / 2;
+    : config_(config),
+      sockets_(config.fd_limit),
+      core_(config, seed, level),
+      services_(io_, sockets_.service, kIdleLimit),
+      peers_(io_, sockets_.peers, kIdleLimit),
+      commands_(io_, sockets_.commands, kIdleCommands) {
     const auto take = [this](core::Plane plane) {
         return [this, plane](net::HttpRequest&& r) {
             post(core::Request{r.id, plane, std::move(r.method), std::move(r.target),
                                std::move(r.body), r.too_large});
         };
     };
-    front_ = std::make_unique<net::HttpServer>(io_, config.public_addr, most, 0,
-                                               take(core::Plane::front));
-    back_ = std::make_unique<net::HttpServer>(io_, config.back_addr, kBackConnections, kBackIds,
+    const net::HttpServer::Limits front{sockets_.front, std::max(kIdleFront, config.report * 4)};
+    const net::HttpServer::Limits back{sockets_.back, kIdleFront};
+    front_ = std::make_unique<net::HttpServer>(io_, config.public_addr,
+                                               front, 0, take(core::Plane::front));
+    back_ = std::make_unique<net::HttpServer>(io_, config.back_addr, back, kBackIds,
                                               take(core::Plane::back));
 }
 
@@ -72,7 +80,11 @@
     batch.swap(queue_);
     const auto wall =
         std::chrono::duration_cast<Millis>(std::chrono::system_clock::now().time_since_epoch());
-    carry_out(core_.apply(std::move(batch), now(), wall.count()));
+    const auto begun = now();
+    auto effects = core_.apply(std::move(batch), begun, wall.count());
+    // The process may have stood still just now, for longer than a leader's word holds.
+    now() - begun < config_.tuning.leader_lease ? carry_out(std::move(effects))
+                                                : give_up(std::move(effects));
     arm(core_.wake());
 }
 
@@ -84,6 +96,17 @@
     });
 }
 
+// What was decided before a stand-still is not acted on: nothing is sent, and nothing answered as
+// by one entitled to.
+void Runtime::give_up(core::Effects&& effects) {
+    for (auto& answer : effects.answers) {
+        answer = {answer.id, 503, wire::encode_error("stood still"), 1};
+    }
+    for (const auto& c : effects.calls) post(core::CallDone{c.id, {-1, {}}});
+    effects.calls.clear();
+    carry_out(std::move(effects));
+}
+
 void Runtime::carry_out(core::Effects&& effects) {
     for (const auto& line : effects.logs) {
         spdlog::log(to_spdlog(line.level), "node={} {}", config_.name.get(), line.text);
@@ -99,7 +122,10 @@
     std::string address = c.endpoint;
     if (c.service == core::Service::state) address = config_.state_addr;
     if (c.service == core::Service::cloud) address = config_.cloud_addr;
-    auto reply = co_await client_.call(std::move(address), std::move(c.method), std::move(c.target),
+    auto& client = c.service == core::Service::worker ? commands_
+                   : c.service == core::Service::peer ? peers_
+                                                      : services_;
+    auto reply = co_await client.call(std::move(address), std::move(c.method), std::move(c.target),
                                        std::move(c.body), c.timeout);
     post(core::CallDone{c.id, std::move(reply)});
 }
@@ -109,7 +135,10 @@
     for (;;) {
         timer.expires_after(kSweepEvery);
         co_await timer.async_wait(asio::use_awaitable);
-        client_.sweep();
+        for (auto* client : {&services_, &peers_, &commands_}) client->sweep();
+        spdlog::debug("node={} event=sockets front={} back={} services={} peers={} commands={}",
+                      config_.name.get(), front_->connections(), back_->connections(),
+                      services_.connections(), peers_.connections(), commands_.connections());
     }
 }
 
--- a/src/app/runtime.hpp
+++ b/src/app/runtime.hpp
@@ -20,15 +20,19 @@
     void post(core::Command&& command);
     void step();
     void carry_out(core::Effects&& effects);
+    void give_up(core::Effects&& effects);
     void arm(Instant wake);
     boost::asio::awaitable<void> call(core::HttpCall call);
     boost::asio::awaitable<void> sweep();
     static Instant now();
 
     const core::Config config_;
+    const core::SocketBudget sockets_;
     boost::asio::io_context io_{1};
     core::Core core_;
-    net::HttpClient client_{io_};
+    net::HttpClient services_;  // the state service and the cloud
+    net::HttpClient peers_;
+    net::HttpClient commands_;  // to workers
     std::unique_ptr<net::HttpServer> front_;
     std::unique_ptr<net::HttpServer> back_;
     std::vector<core::Command> queue_;
--- a/src/core/config.hpp
+++ b/src/core/config.hpp
@@ -41,6 +41,28 @@
     double headroom = 1.2;      // capacity kept, as a multiple of the observed load
 };
 
+// How the process's sockets are shared out, so that none of those it deals with can take the places
+// of others. Some are left for the process itself.
+struct SocketBudget {
+    std::size_t service = 0;   // out, to the state service and the cloud
+    std::size_t peers = 0;     // out, to other controllers
+    std::size_t commands = 0;  // out, to workers
+    std::size_t back = 0;      // in, from other controllers
+    std::size_t front = 0;     // in, from users, health probes and workers
+
+    explicit SocketBudget(std::size_t limit) {
+        const auto share = [&](std::size_t part, std::size_t most) {
+            return std::clamp<std::size_t>(limit / part, 2, most);
+        };
+        const auto own = share(10, 24);
+        service = share(8, 64);
+        peers = share(16, 64);
+        back = share(16, 96);
+        commands = limit / 6;
+        front = limit - std::min(limit, own + service + peers + back + commands);
+    }
+};
+
 struct Config {
     NodeName name;
     std::string zone;
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -16,14 +16,22 @@
 using tcp = asio::ip::tcp;
 
 namespace {
-constexpr auto kIdleLimit = std::chrono::seconds(60);
 constexpr std::size_t kIdlePerAddress = 8;
+constexpr std::size_t kKeptBuffer = 64 * 1024;
 // Watches have no size limit by protocol; this one only keeps a broken peer from filling memory.
 constexpr std::uint64_t kResponseLimit = 16 * 1024 * 1024;
 }  // namespace
 
 struct HttpClient::Connection {
-    explicit Connection(asio::io_context& io) : socket(io), deadline(io) {}
+    Connection(asio::io_context& io, std::shared_ptr<std::size_t> count)
+        : open(std::move(count)), socket(io), deadline(io) {
+        ++*open;
+    }
+    ~Connection() { --*open; }
+    Connection(const Connection&) = delete;
+    Connection& operator=(const Connection&) = delete;
+
+    std::shared_ptr<std::size_t> open;
     tcp::socket socket;
     asio::steady_timer deadline;
     boost::beast::flat_buffer buffer;
@@ -44,22 +52,49 @@
 };
 
 HttpClient::ConnectionPtr HttpClient::take_idle(const std::string& address) {
-    const auto it = idle_.find(address);
-    if (it == idle_.end()) return nullptr;
-    auto& list = it->second;
-    while (!list.empty()) {
-        auto connection = std::move(list.back());
-        list.pop_back();
-        if (connection->socket.is_open() && connection->usable()) return connection;
+    const auto it = by_address_.find(address);
+    if (it == by_address_.end()) return nullptr;
+    ConnectionPtr found;
+    while (!found && !it->second.empty()) {
+        const auto place = it->second.back();
+        it->second.pop_back();
+        auto connection = std::move(place->second);
+        idle_.erase(place);
+        if (connection->socket.is_open() && connection->usable()) found = std::move(connection);
     }
-    return nullptr;
+    if (it->second.empty()) by_address_.erase(it);
+    return found;
+}
+
+HttpClient::ConnectionPtr HttpClient::new_connection() {
+    if (*open_ >= max_connections_) drop_oldest();
+    if (*open_ >= max_connections_) return nullptr;
+    return std::make_shared<Connection>(io_, open_);
+}
+
+void HttpClient::keep(std::string address, ConnectionPtr connection) {
+    auto& places = by_address_[address];
+    if (places.size() >= kIdlePerAddress) return;
+    connection->used = std::chrono::steady_clock::now();
+    // A large answer's buffer is not kept for the small ones that follow.
+    if (connection->buffer.capacity() > kKeptBuffer) connection->buffer = {};
+    places.push_back(idle_.emplace(idle_.end(), std::move(address), std::move(connection)));
+}
+
+void HttpClient::drop_oldest() {
+    if (idle_.empty()) return;
+    const auto it = by_address_.find(idle_.front().first);
+    std::erase(it->second, idle_.begin());
+    if (it->second.empty()) by_address_.erase(it);
+    idle_.pop_front();
 }
 
 asio::awaitable<core::HttpReply> HttpClient::call(std::string address, std::string method,
                                                   std::string target, std::string body,
                                                   Millis timeout) {
     auto connection = take_idle(address);
-    if (!connection) connection = std::make_shared<Connection>(io_);
+    if (!connection) connection = new_connection();
+    if (!connection) co_return core::HttpReply{-1, {}};
     connection->sent = false;
     connection->deadline.expires_after(timeout);
     connection->deadline.async_wait([weak = std::weak_ptr(connection)](error_code ec) {
@@ -76,11 +111,7 @@
         reply = {connection->sent ? 0 : -1, {}};
     }
     connection->deadline.expires_at(std::chrono::steady_clock::time_point::max());
-    if (connection->socket.is_open()) {
-        connection->used = std::chrono::steady_clock::now();
-        auto& list = idle_[address];
-        if (list.size() < kIdlePerAddress) list.push_back(std::move(connection));
-    }
+    if (connection->socket.is_open()) keep(std::move(address), std::move(connection));
     co_return reply;
 }
 
@@ -112,11 +143,8 @@
 }
 
 void HttpClient::sweep() {
-    const auto limit = std::chrono::steady_clock::now() - kIdleLimit;
-    for (auto it = idle_.begin(); it != idle_.end();) {
-        std::erase_if(it->second, [&](const ConnectionPtr& c) { return c->used < limit; });
-        it = it->second.empty() ? idle_.erase(it) : std::next(it);
-    }
+    const auto limit = std::chrono::steady_clock::now() - idle_limit_;
+    while (!idle_.empty() && idle_.front().second->used < limit) drop_oldest();
 }
 
 }  // namespace dunebridge::net
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -1,10 +1,13 @@
 // HTTP/1.1 client: kept connections per address, one request at a time on each, a deadline for
-// every call.
+// every call, and no more sockets than it may have over all addresses.
 #pragma once
 
+#include <chrono>
+#include <list>
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "base/types.hpp"
@@ -15,25 +18,39 @@
 
 class HttpClient {
   public:
-    explicit HttpClient(boost::asio::io_context& io) : io_(io) {}
+    // Connections idle for longer than the limit are closed by sweep(); where a new one finds no
+    // place, the one idle for longest is closed for it.
+    HttpClient(boost::asio::io_context& io, std::size_t max_connections,
+               std::chrono::seconds idle_limit)
+        : io_(io), max_connections_(max_connections), idle_limit_(idle_limit) {}
 
+    // With all places in use the call is not sent, and says so at once.
     boost::asio::awaitable<core::HttpReply> call(std::string address, std::string method,
                                                  std::string target, std::string body,
                                                  Millis timeout);
-    // Closes kept connections that have been idle for long.
     void sweep();
+    std::size_t connections() const { return *open_; }
 
   private:
     struct Connection;
     using ConnectionPtr = std::shared_ptr<Connection>;
+    using Idle = std::list<std::pair<std::string, ConnectionPtr>>;
 
     ConnectionPtr take_idle(const std::string& address);
+    ConnectionPtr new_connection();
+    void keep(std::string address, ConnectionPtr connection);
+    void drop_oldest();
     boost::asio::awaitable<core::HttpReply> exchange(ConnectionPtr connection, std::string address,
                                                      std::string method, std::string target,
                                                      std::string body);
 
     boost::asio::io_context& io_;
-    std::unordered_map<std::string, std::vector<ConnectionPtr>> idle_;
+    std::size_t max_connections_;
+    std::chrono::seconds idle_limit_;
+    // Shared with the connections, which count themselves and may outlive the client.
+    std::shared_ptr<std::size_t> open_ = std::make_shared<std::size_t>(0);
+    Idle idle_;  // the one idle for longest first
+    std::unordered_map<std::string, std::vector<Idle::iterator>> by_address_;
 };
 
 }  // namespace dunebridge::net
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -2,7 +2,6 @@
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
-#include <chrono>
 #include <optional>
 
 #include "wire/codec.hpp"
@@ -15,9 +14,16 @@
 using tcp = asio::ip::tcp;
 
 namespace {
-constexpr auto kIdleLimit = std::chrono::seconds(120);
-constexpr auto kSweepEvery = std::chrono::seconds(10);
+constexpr auto kSweepEvery = std::chrono::seconds(2);
+// For a first request to come, and for an answer to be taken.
+constexpr auto kPatience = std::chrono::seconds(10);
 constexpr std::size_t kHeaderLimit = 8 * 1024;
+constexpr std::size_t kKeptBuffer = 16 * 1024;
+constexpr int kBacklog = 4096;  // every worker may return within the same second
+// The groups' shares of the places: fresh, worker, user.
+constexpr std::array<double, 3> kShares{0.05, 0.75, 0.2};
+// Above this part of all places, groups over their share keep no connection open.
+constexpr double kCrowded = 0.9;
 }  // namespace
 
 struct HttpServer::Session {
@@ -26,6 +32,15 @@
     asio::steady_timer answered;
     std::optional<core::Answer> answer;
     std::chrono::steady_clock::time_point active = std::chrono::steady_clock::now();
+    Group group = Group::fresh;
+    bool busy = false;     // has a request to be answered
+    bool writing = false;  // its answer is being written
+    Sessions::iterator place;
+
+    void close() {
+        error_code ec;
+        socket.close(ec);
+    }
 };
 
 tcp::endpoint parse_endpoint(const std::string& address) {
@@ -35,17 +50,17 @@
 }
 
 HttpServer::HttpServer(asio::io_context& io, const std::string& address,
-                       std::size_t max_connections, std::uint64_t id_base, Handler handler)
+                       Limits limits, std::uint64_t id_base, Handler handler)
     : io_(io),
       acceptor_(io),
-      max_connections_(max_connections),
+      limits_(limits),
       next_id_(id_base),
       handler_(std::move(handler)) {
     const auto endpoint = parse_endpoint(address);
     acceptor_.open(endpoint.protocol());
     acceptor_.set_option(tcp::acceptor::reuse_address(true));
     acceptor_.bind(endpoint);
-    acceptor_.listen(512);
+    acceptor_.listen(kBacklog);
 }
 
 void HttpServer::start() {
@@ -64,25 +79,87 @@
             co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ec));
             continue;
         }
-        if (sessions_.size() >= max_connections_) continue;  // closes it
+        if (sessions_.size() >= limits_.connections && !make_place()) continue;  // closes it
         socket.set_option(tcp::no_delay(true), ec);
         auto session = std::make_shared<Session>(std::move(socket));
         sessions_.emplace(session.get(), session);
+        join(*session, Group::fresh);
         asio::co_spawn(io_, serve(session), asio::detached);
     }
 }
 
+double HttpServer::fullness(Group group) const {
+    const auto g = static_cast<std::size_t>(group);
+    return static_cast<double>(counts_[g]) /
+           (kShares[g] * static_cast<double>(limits_.connections));
+}
+
+bool HttpServer::crowded(Group group) const {
+    return static_cast<double>(sessions_.size()) >
+               kCrowded * static_cast<double>(limits_.connections) &&
+           fullness(group) > 1;
+}
+
+// Closes the connection that waits for nothing, and has for longest, of the group furthest over
+// its share. False if every connection has a request to be answered.
+bool HttpServer::make_place() {
+    Session* oldest = nullptr;
+    double most = 0;
+    for (std::size_t g = 0; g < kGroups; ++g) {
+        const auto full = fullness(static_cast<Group>(g));
+        if (idle_[g].empty() || (oldest && full <= most)) continue;
+        oldest = idle_[g].front();
+        most = full;
+    }
+    if (!oldest) return false;
+    oldest->close();
+    leave(*oldest);
+    return true;
+}
+
+void HttpServer::join(Session& session, Group group) {
+    session.group = group;
+    ++counts_[static_cast<std::size_t>(group)];
+    auto& idle = idle_[static_cast<std::size_t>(group)];
+    session.busy = false;
+    session.place = idle.insert(idle.end(), &session);
+}
+
+void HttpServer::set_busy(Session& session, bool busy) {
+    if (session.busy == busy) return;
+    session.busy = busy;
+    auto& idle = idle_[static_cast<std::size_t>(session.group)];
+    if (busy) {
+        idle.erase(session.place);
+    } else {
+        session.place = idle.insert(idle.end(), &session);
+    }
+}
+
+// Gives the place up; the coroutine that serves the session ends by itself.
+void HttpServer::leave(Session& session) {
+    if (sessions_.erase(&session) == 0) return;
+    set_busy(session, true);
+    --counts_[static_cast<std::size_t>(session.group)];
+}
+
 asio::awaitable<void> HttpServer::sweep() {
     asio::steady_timer timer(io_);
     for (;;) {
         timer.expires_after(kSweepEvery);
         co_await timer.async_wait(asio::use_awaitable);
-        const auto limit = std::chrono::steady_clock::now() - kIdleLimit;
-        for (auto& [key, weak] : sessions_) {
-            const auto session = weak.lock();
-            error_code ec;
-            if (session && session->active < limit) session->socket.close(ec);
-        }
+        close_overdue();
+    }
+}
+
+// Slow readers and writers are bounded in time, like connections that nobody uses.
+void HttpServer::close_overdue() {
+    const auto now = std::chrono::steady_clock::now();
+    for (auto& [key, weak] : sessions_) {
+        const auto session = weak.lock();
+        if (!session || (session->busy && !session->writing)) continue;
+        const bool impatient = session->writing || session->group == Group::fresh;
+        if (now - session->active > (impatient ? kPatience : limits_.idle)) session->close();
     }
 }
 
@@ -97,9 +174,17 @@
         co_await http::async_read(session->socket, buffer, parser,
                                   asio::redirect_error(asio::use_awaitable, ec));
         const bool too_large = ec == http::error::body_limit || ec == http::error::header_limit;
-        if (ec && !too_large) break;
+        // Its place may have been given away while the request was on its way.
+        if ((ec && !too_large) || !sessions_.contains(session.get())) break;
         session->active = std::chrono::steady_clock::now();
         auto& request = parser.get();
+        const auto group = request.target() == "/checkin" ? Group::worker : Group::user;
+        if (group != session->group) {
+            leave(*session);
+            sessions_.emplace(session.get(), session);
+            join(*session, group);
+        }
+        set_busy(*session, true);
         keep = !too_large && request.keep_alive();
 
         HttpRequest in;
@@ -126,15 +211,21 @@
             response.set(http::field::retry_after, std::to_string(answer.retry_after_s));
         }
         response.body() = std::move(answer.body);
+        keep = keep && !crowded(session->group);
         response.keep_alive(keep);
         response.prepare_payload();
+        session->active = std::chrono::steady_clock::now();
+        session->writing = true;
         co_await http::async_write(session->socket, response,
                                    asio::redirect_error(asio::use_awaitable, ec));
+        session->writing = false;
         if (ec) break;
+        set_busy(*session, false);
+        if (buffer.capacity() > kKeptBuffer && buffer.size() == 0) buffer = {};
     }
     error_code ec;
     session->socket.shutdown(tcp::socket::shutdown_both, ec);
-    sessions_.erase(session.get());
+    leave(*session);
 }
 
 void HttpServer::answer(core::Answer&& answer) {
--- a/src/workers/workers.cpp
+++ b/src/workers/workers.cpp
@@ -43,7 +43,8 @@
       election_(election),
       ledger_(ledger),
       config_(config),
-      finished_(std::move(finished)) {}
+      finished_(std::move(finished)),
+      most_directs_(core::SocketBudget(config.fd_limit).commands) {}
 
 void Workers::reset() {
     deleted_.clear();
@@ -375,9 +376,11 @@
         std::any_of(out.begin(), out.end(), [](const Order& o) { return o.verb != Verb::clear; });
     if (!urgent) return;
     m.in_direct = true;
+    ++directs_;
     port_.call(core::Service::worker, m.endpoint, "POST", "/commands",
                wire::encode_commands(epoch(m), m.last.tenure, out), kDirectTimeout,
                [this, host = m.host, term = election_.term()](const core::HttpReply& reply) {
+                   --directs_;
                    if (election_.is_leader() && election_.term() == term) direct_done(host, reply);
                });
 }
@@ -457,7 +460,9 @@
         drop_unsent(*m);
         if (!m->reported || m->deleting || deaf(*m)) continue;
         if (m->in_direct) continue;  // its answer wants orders again
-        if (now >= m->direct_after) {
+        if (directs_ >= most_directs_) {
+            ledger_.want_orders(*m);  // goes on when one of those under way has ended
+        } else if (now >= m->direct_after) {
             send_direct(*m);
         } else {
             ledger_.want_orders(*m);
--- a/src/workers/workers.hpp
+++ b/src/workers/workers.hpp
@@ -79,6 +79,8 @@
     std::function<void(const Finished&)> finished_;
     std::map<HostName, Instant> deleted_;
     std::map<HostName, Instant> strangers_;  // unknown hosts, and when they were first answered
+    std::size_t directs_ = 0;  // direct commands under way
+    std::size_t most_directs_;
     Instant next_sweep_{};
 };
 
