Repeats of transactions and commands that were carried out do no harm; stand-stills end a leader's word

A copy of a ledger transaction, applied late under the same leader, put old records over newer ones: the next leader then started tasks twice or over the quota. A copy of a direct command started what had been cleared or replaced since.

Each record's own revision is guarded now, and a message that clears or replaces what a direct command started carries an epoch that refuses its repeat. A leader whose clock shows a stand-still of its lease or more asks the state service before it acts again.

--- a/src/app/runtime.cpp
+++ b/src/app/runtime.cpp
@@ -47,8 +47,8 @@
     };
     const net::HttpServer::Limits front{sockets_.front, std::max(kIdleFront, config.report * 4)};
     const net::HttpServer::Limits back{sockets_.back, kIdleFront};
-    front_ = std::make_unique<net::HttpServer>(io_, config.public_addr,
-                                               front, 0, take(core::Plane::front));
+    front_ = std::make_unique<net::HttpServer>(io_, config.public_addr, front, 0,
+                                               take(core::Plane::front));
     back_ = std::make_unique<net::HttpServer>(io_, config.back_addr, back, kBackIds,
                                               take(core::Plane::back));
 }
@@ -126,7 +126,7 @@
                    : c.service == core::Service::peer ? peers_
                                                       : services_;
     auto reply = co_await client.call(std::move(address), std::move(c.method), std::move(c.target),
-                                       std::move(c.body), c.timeout);
+                                      std::move(c.body), c.timeout);
     post(core::CallDone{c.id, std::move(reply)});
 }
 
--- a/src/cluster/election.cpp
+++ b/src/cluster/election.cpp
@@ -221,9 +221,9 @@
     next_read_ = port_.now();
 }
 
-void Election::step_back() {
+void Election::step_back(const char* why) {
     if (!leader_) return;
-    step_down("it is isolated");
+    step_down(why);
     observed_ = false;
     next_read_ = port_.now();
 }
--- a/src/cluster/election.hpp
+++ b/src/cluster/election.hpp
@@ -40,7 +40,7 @@
     // Gives the leadership up and does not stand for a while, so that another node can lead.
     void resign(Millis aside);
     // Stops acting as the leader until the state service tells who leads.
-    void step_back();
+    void step_back(const char* why);
     // Whether this node may stand; a node that the state service serves badly should not.
     void set_eligible(bool eligible) { eligible_ = eligible; }
 
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -33,6 +33,13 @@
 Effects Core::apply(std::vector<Command>&& batch, Instant now, std::int64_t wall_ms) {
     port_.set_time(now, wall_ms);
     port_.reset_wake();
+    // After a stand-still another may lead: nothing is decided or answered as the leader, and no
+    // lease taken for over, before the state service has told.
+    if (last_apply_ != Instant{} && now - last_apply_ >= config_.tuning.leader_lease) {
+        election_.step_back("it stood still");
+        follow_leadership();
+    }
+    last_apply_ = now;
     for (auto& command : batch) {
         if (auto* request = std::get_if<Request>(&command)) {
             handle(std::move(*request));
@@ -241,7 +248,7 @@
     const auto alone = std::min(store_.silent_for(), port_.now() - peers_.last_heard());
     if (alone < std::max(config_.tuning.leader_lease, config_.lease * kIsolatedPart / 100)) return;
     port_.log(LogLevel::info, "event=isolated term={}", election_.term().get());
-    election_.step_back();
+    election_.step_back("it is isolated");
 }
 
 void Core::handle_ready(const Request& request) {
--- a/src/core/core.hpp
+++ b/src/core/core.hpp
@@ -79,6 +79,7 @@
     api::Jobs jobs_;
     std::uint64_t generation_ = 0;
     bool led_ = false;
+    Instant last_apply_{};
     Instant next_schedule_{};
     Instant next_upkeep_{};
     std::map<HostName, Instant> redirected_;
--- a/src/core/ledger.cpp
+++ b/src/core/ledger.cpp
@@ -167,7 +167,7 @@
             need_format(row.value);
             Group group;
             group.request = wire::decode_rental(row.value);
-            stored_.insert(row.key);
+            stored_[row.key] = row.rev;
             const auto claim = group.request.claim;
             if (!row.value["hosts"].is_list()) {
                 open_claims_.insert(claim);
@@ -219,7 +219,7 @@
     if (slash == std::string::npos || slash <= start) throw wire::DecodeError("key");
     const JobId id(row.key.substr(start, slash - start));
     const auto from = static_cast<std::uint32_t>(row.value["from"].need_count("from"));
-    stored_.insert(row.key);
+    stored_[row.key] = row.rev;
     Job* job = find_job(id);
     if (!job) {
         // The job is over and its record gone; what was recorded counts until proved gone.
@@ -350,7 +350,7 @@
     job.tasks.resize(job.spec.shards);
     job.waiting.resize(job.spec.shards);
     for (std::uint32_t i = 0; i < job.spec.shards; ++i) job.waiting[i] = job.spec.shards - 1 - i;
-    stored_.insert(kJobs + it->first.get());
+    stored_.try_emplace(kJobs + it->first.get());
 }
 
 Job* Ledger::find_job(const JobId& id) {
@@ -708,7 +708,7 @@
         port_.log(LogLevel::error, "event=record_too_large key={} bytes={}", key, value->json);
         return true;
     }
-    const auto bytes = 2 * kGuardBytes + key.size() + (value ? value->json : 0);
+    const auto bytes = 3 * kGuardBytes + key.size() + (value ? value->json : 0);
     if (commit.bytes + bytes > kTxnBytes && !commit.writes.empty()) return false;
     // Placements may only be recorded for jobs without an end, and ends only once.
     std::string guard;
@@ -724,6 +724,10 @@
         }
     }
     if (!guard.empty() && guarded.insert(guard).second) commit.guards.push_back({guard, KeyRev()});
+    if (key.starts_with(kProgress) || key.starts_with(kGroups)) {
+        const auto known = stored_.find(key);
+        commit.guards.push_back({key, known == stored_.end() ? KeyRev() : known->second});
+    }
     commit.bytes += bytes;
     commit.keys.emplace_back(key, value.has_value());
     commit.writes.push_back(
@@ -776,7 +780,7 @@
 void Ledger::finish_commit(const Commit& commit, const state::MultiResult& result) {
     in_commit_ = false;
     if (result.outcome == Outcome::ok) {
-        committed_keys(commit);
+        committed_keys(commit, result.rev);
         return;
     }
     if (result.outcome == Outcome::unknown) {
@@ -795,7 +799,7 @@
     }
 }
 
-void Ledger::committed_keys(const Commit& commit) {
+void Ledger::committed_keys(const Commit& commit, KeyRev rev) {
     for (const auto& [key, set] : commit.keys) {
         auto it = dirty_.find(key);
         if (it != dirty_.end()) {
@@ -811,7 +815,7 @@
             end_committed(JobId(after(key, kEnds)));
             continue;
         }
-        set ? (void)stored_.insert(key) : (void)stored_.erase(key);
+        set ? (void)(stored_[key] = rev) : (void)stored_.erase(key);
         if (!key.starts_with(kProgress)) continue;
         const auto [job, chunk] = chunk_of(key);
         if (!job) continue;
--- a/src/core/ledger.hpp
+++ b/src/core/ledger.hpp
@@ -3,7 +3,9 @@
 // Only the leader has one. Every change is made in memory first and marked dirty; flush() commits
 // dirty keys in transactions that guard the leader key, one at a time. A placement may be acted on
 // only once it is `committed`. A transaction without an answer ends the term: the new term's
-// revision of the leader key keeps the lost one from being applied later.
+// revision of the leader key keeps the lost one from being applied later. One that was carried out
+// may be repeated on the way: it also guards the revision of each record that it writes, so that a
+// repeat cannot put an older record over a newer one.
 //
 // Placements are recorded per job and chunk of its tasks, machines per rental, so that the number
 // of changes grows neither with tasks nor with machines touched. What users wait for (ends) and
@@ -91,6 +93,9 @@
     // The answer to the last check-in carried the start: until the next one it may be executed,
     // whatever becomes of a direct command that repeats it.
     bool in_answer = false;
+    // A repeat of the direct command that started it is refused once the worker has shown this
+    // fence; 0: no direct command has.
+    std::uint64_t refused_from = 0;
     bool seen = false;
     wire::TaskPhase phase = wire::TaskPhase::other;
     std::uint64_t tenure = 0;  // of the session it was sent to or seen in, in this term; 0: neither
@@ -109,6 +114,7 @@
     Attempt attempt;
     std::string record;  // the key that must hold the outcome; empty: none
     Version outcome = 0;
+    std::uint64_t refused_from = 0;  // as of its placement
 };
 
 using PlacementKey = std::pair<std::uint64_t, std::uint32_t>;  // job serial, index
@@ -261,7 +267,7 @@
     void leave_group(const Machine& machine);
     void bad_record(const std::string& key, const std::string& error);
     void finish_commit(const Commit& commit, const state::MultiResult& result);
-    void committed_keys(const Commit& commit);
+    void committed_keys(const Commit& commit, KeyRev rev);
     void end_committed(const JobId& id);
     void conflict(const state::MultiResult& result);
     void attach(Machine& machine, Job& job, std::uint32_t index, Placement placement);
@@ -298,7 +304,8 @@
 
     Version version_ = 0;
     std::map<std::string, Dirty> dirty_;
-    std::set<std::string> stored_;  // keys of job/, prog/ and rent/ that exist
+    // Keys of job/, prog/ and rent/ that exist; for the latter two, the revision they were left at.
+    std::unordered_map<std::string, KeyRev> stored_;
     bool in_commit_ = false;
     Instant next_commit_{};
     std::uint64_t changes_sent_ = 0;
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -49,13 +49,9 @@
     return {asio::ip::make_address(address.substr(0, colon)), static_cast<std::uint16_t>(port)};
 }
 
-HttpServer::HttpServer(asio::io_context& io, const std::string& address,
-                       Limits limits, std::uint64_t id_base, Handler handler)
-    : io_(io),
-      acceptor_(io),
-      limits_(limits),
-      next_id_(id_base),
-      handler_(std::move(handler)) {
+HttpServer::HttpServer(asio::io_context& io, const std::string& address, Limits limits,
+                       std::uint64_t id_base, Handler handler)
+    : io_(io), acceptor_(io), limits_(limits), next_id_(id_base), handler_(std::move(handler)) {
     const auto endpoint = parse_endpoint(address);
     acceptor_.open(endpoint.protocol());
     acceptor_.set_option(tcp::acceptor::reuse_address(true));
--- a/src/workers/workers.cpp
+++ b/src/workers/workers.cpp
@@ -126,6 +126,10 @@
     port_.answer(id, 200, wire::encode_checkin_reply(epoch(*machine), out));
 }
 
+bool Workers::of_this_term(Attempt attempt) const {
+    return attempt.get() >> core::kAttemptBits == election_.term().get();
+}
+
 // A host that no record names: a late report of a machine that is long gone must not bring it
 // back. It is told the epoch, and believed once it shows it.
 bool Workers::greet_stranger(RequestId id, const wire::Report& report) {
@@ -208,13 +212,20 @@
             }
             continue;
         }
-        core::Exited e{t.task, t.attempt, {}, 0};
+        core::Exited e{t.task, t.attempt, {}, 0, 0};
+        if (recorded) {
+            e.refused_from = it->second.refused_from;
+        } else if (of_this_term(t.attempt)) {
+            e.refused_from = m.fence + 1;
+        }
         if (job) {
             e.record = core::Ledger::record_of(*job, t.task.index);
             e.outcome = ledger_.version();
         }
         for (const auto& known : known_exited) {
-            if (known.task == t.task && known.attempt == t.attempt) e.outcome = known.outcome;
+            if (known.task != t.task || known.attempt != t.attempt) continue;
+            e.outcome = known.outcome;
+            e.refused_from = known.refused_from;
         }
         if (recorded) {
             exited(m, it->second, t);
@@ -239,7 +250,7 @@
         if (!p.committed) continue;
         // A later session has forgotten the tasks of earlier ones, and takes no command of theirs.
         // What an earlier leader may have sent to this session counts until it is fenced off.
-        const bool ours = p.attempt.get() >> core::kAttemptBits == election_.term().get();
+        const bool ours = of_this_term(p.attempt);
         if (p.tenure != 0 && r.order.tenure > p.tenure && (ours || shows_term)) {
             const bool here = std::any_of(r.tasks.begin(), r.tasks.end(),
                                           [&](const auto& t) { return t.attempt == p.attempt; });
@@ -330,14 +341,19 @@
     return p.halting || p.job->state == JobState::ended || p.job->tasks[p.index].done;
 }
 
+// Direct commands that were carried out may be repeated late, and would start again what is cleared
+// or replaced. A higher epoch, in the very message that clears or replaces it, refuses them.
 std::vector<Order> Workers::orders(Machine& m, bool direct) {
     std::vector<Order> out;
+    std::vector<Placement*> started;
+    bool raise = false;
     const bool sure = m.shown == epoch(m);
     // An attempt is cleared only when nothing still under way could start it once more.
     if (sure && !m.in_direct) {
         for (const auto& e : m.exited) {
-            if (ledger_.committed(e.record, e.outcome))
-                out.push_back({Verb::clear, e.task, e.attempt, 0});
+            if (!ledger_.committed(e.record, e.outcome)) continue;
+            out.push_back({Verb::clear, e.task, e.attempt, 0});
+            raise = raise || e.refused_from > m.fence;
         }
     }
     for (const auto& [task, attempt] : m.strays) out.push_back({Verb::halt, task, attempt, 0});
@@ -354,9 +370,20 @@
         }
         if (p.seen || p.sent == Sent::settled || deaf(m)) continue;
         out.push_back({Verb::start, p.ref(), p.attempt, 0});
+        raise = raise || std::any_of(m.exited.begin(), m.exited.end(), [&](const auto& e) {
+                    return e.refused_from > m.fence && e.task == p.ref();
+                });
         p.sent = direct ? Sent::direct : Sent::checkin;
         p.in_answer = p.in_answer || !direct;
         p.tenure = std::max(p.tenure, m.last.tenure);
+        started.push_back(&p);
+    }
+    // Clearing alone can wait for the next check-in.
+    const auto is_clear = [](const Order& o) { return o.verb == Verb::clear; };
+    if (direct && std::all_of(out.begin(), out.end(), is_clear)) return {};
+    if (raise) ++m.fence;
+    if (direct) {
+        for (auto* p : started) p->refused_from = m.fence + 1;
     }
     return out;
 }
@@ -371,10 +398,8 @@
 }
 
 void Workers::send_direct(Machine& m) {
-    auto out = orders(m, true);
-    const bool urgent =
-        std::any_of(out.begin(), out.end(), [](const Order& o) { return o.verb != Verb::clear; });
-    if (!urgent) return;
+    const auto out = orders(m, true);
+    if (out.empty()) return;
     m.in_direct = true;
     ++directs_;
     port_.call(core::Service::worker, m.endpoint, "POST", "/commands",
--- a/src/workers/workers.hpp
+++ b/src/workers/workers.hpp
@@ -67,6 +67,7 @@
     std::vector<wire::Order> orders(core::Machine& machine, bool direct);
     void send_direct(core::Machine& machine);
     void direct_done(const HostName& host, const core::HttpReply& reply);
+    bool of_this_term(Attempt attempt) const;
     void expire_leases(core::Machine& machine);
     void drop_unsent(core::Machine& machine);
     bool greet_stranger(RequestId id, const wire::Report& report);
@@ -79,7 +80,7 @@
     std::function<void(const Finished&)> finished_;
     std::map<HostName, Instant> deleted_;
     std::map<HostName, Instant> strangers_;  // unknown hosts, and when they were first answered
-    std::size_t directs_ = 0;  // direct commands under way
+    std::size_t directs_ = 0;                // direct commands under way
     std::size_t most_directs_;
     Instant next_sweep_{};
 };
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -43,6 +43,7 @@
 World::World(const Options& options)
     : options_(options),
       rng_(options.seed),
+      harsh_rng_(options.seed * 31 + 5),
       config_(make_config(options)),
       state_(clock_),
       cloud_(clock_, make_types(), options.machines, Millis(4000), options.seed * 7 + 1,
@@ -71,6 +72,7 @@
     for (std::size_t i = 0; i < nodes_.size(); ++i) boot(i);
     options.urgent_flow ? make_flow() : make_users(options.jobs);
     if (options.fault_every_s > 0) plan_fault();
+    if (options.harsh) plan_harsh();
 }
 
 World::~World() = default;
@@ -122,6 +124,13 @@
 void World::step(std::size_t i) {
     auto& node = nodes_[i];
     if (!node.core) return;
+    if (clock_.now() < node.still_until) {
+        node.step_planned = true;
+        clock_.at(node.still_until, [this, i, incarnation = node.incarnation] {
+            if (nodes_[i].incarnation == incarnation) step(i);
+        });
+        return;
+    }
     node.step_planned = false;
     std::vector<core::Command> batch;
     batch.swap(node.queue);
@@ -190,9 +199,11 @@
     const bool lose =
         c.service != Service::peer && std::uniform_real_distribution<>(0, 1)(rng_) < lost_answers_;
     const auto deliver = [this, i, c, done, lose] {
+        repeat_later(i, c);
         serve(i, c, [this, i, service = c.service, done, lose](const HttpReply& reply) {
             if (lose || cut_for(nodes_[i], service) != Cut::none) return;
-            clock_.after(latency(), [done, reply] { done(reply); });
+            const auto delay = latency() + (service == Service::state ? state_delay() : Millis(0));
+            clock_.after(delay, [done, reply] { done(reply); });
         });
     };
     if (cut == Cut::drop) return;
@@ -206,6 +217,20 @@
     clock_.at(when, deliver);
 }
 
+// A request that was carried out comes once more, by up to three leases later; nobody reads the
+// answer.
+void World::repeat_later(std::size_t i, const HttpCall& c) {
+    if (!options_.harsh || c.method != "POST" || harsh_rng_() % 30 != 0) return;
+    const auto span = static_cast<std::uint64_t>(config_.lease.count()) * 3;
+    clock_.after(Millis(5 + static_cast<std::int64_t>(harsh_rng_() % span)),
+                 [this, i, c] { serve(i, c, [](const HttpReply&) {}); });
+}
+
+Millis World::state_delay() {
+    if (clock_.now() >= state_slow_until_) return Millis(0);
+    return Millis(150 + static_cast<std::int64_t>(harsh_rng_() % (harsh_rng_() % 5 ? 400 : 3000)));
+}
+
 void World::serve(std::size_t i, const HttpCall& c, StateStandIn::Reply reply) {
     if (c.service == Service::state) {
         if (nodes_[i].refused && !c.target.starts_with("/watch")) {
@@ -426,21 +451,39 @@
     if (user.accepted) return;
     wire::Writer w;
     wire::encode_job(w, user.spec);
-    request(rng_() % nodes_.size(), Plane::front, "POST", "/v1/jobs", w.take(),
-            [this, &user](const Answer& a) {
+    const auto body = w.take();
+    request(rng_() % nodes_.size(), Plane::front, "POST", "/v1/jobs", body,
+            [this, &user, body, asked = clock_.now()](const Answer& a) {
                 if (a.status == 400 || a.status == 422) {
                     broken("forgotten", user.spec.id.get() + " refused");
                 }
                 if (a.status != 200 && a.status != 201) return;
+                if (options_.harsh) repeat_user(user, "/v1/jobs", body);
                 const bool first = !user.accepted;
                 user.accepted = true;
-                told(user, a);
+                if (asked >= user.final_told) told(user, a);
                 if (first) poll(user);
             });
     clock_.after(Millis(1000 + static_cast<std::int64_t>(rng_() % 500)),
                  [this, &user] { submit(user); });
 }
 
+// A submission or cancellation that was carried out comes again, at any node. What it is answered
+// must fit what the user was told.
+void World::repeat_user(User& user, const std::string& target, const std::string& body) {
+    if (harsh_rng_() % 4 != 0) return;
+    clock_.after(Millis(static_cast<std::int64_t>(harsh_rng_() % 60000)),
+                 [this, &user, target, body] {
+                     request(harsh_rng_() % nodes_.size(), Plane::front, "POST", target, body,
+                             [this, &user, asked = clock_.now()](const Answer& a) {
+                                 if (a.status == 404 || a.status == 400 || a.status == 422) {
+                                     broken("forgotten", user.spec.id.get() + " (repeat)");
+                                 }
+                                 if (a.status == 200 && asked >= user.final_told) told(user, a);
+                             });
+                 });
+}
+
 void World::poll(User& user) {
     // Also after the end: what was told must stay so, at every node.
     request(rng_() % nodes_.size(), Plane::front, "GET", "/v1/jobs/" + user.spec.id.get(), {},
@@ -461,7 +504,11 @@
         request(rng_() % nodes_.size(), Plane::front, "POST",
                 "/v1/jobs/" + user.spec.id.get() + "/abort", {}, [this, &user](const Answer& a) {
                     if (a.status == 404) broken("forgotten", user.spec.id.get() + " (abort)");
-                    if (a.status == 200) told(user, a);
+                    if (a.status != 200) return;
+                    told(user, a);
+                    if (options_.harsh) {
+                        repeat_user(user, "/v1/jobs/" + user.spec.id.get() + "/abort", {});
+                    }
                 });
     }
     clock_.after(Millis(1500), [this, &user] { abort(user); });
@@ -606,6 +653,55 @@
     });
 }
 
+void World::plan_harsh() {
+    const auto mean = static_cast<std::uint64_t>(std::max(options_.fault_every_s, 4.0) * 2000);
+    clock_.after(Millis(static_cast<std::int64_t>(mean / 2 + harsh_rng_() % mean)), [this] {
+        if (clock_.now() > troubles_end_) return;
+        harsh_fault();
+        plan_harsh();
+    });
+}
+
+void World::harsh_fault() {
+    auto i = leader();
+    if (i == nodes_.size() || harsh_rng_() % 3 == 0) i = harsh_rng_() % nodes_.size();
+    const Millis span(1000 + static_cast<std::int64_t>(harsh_rng_() % 20000));
+    switch (harsh_rng_() % 4) {
+        case 0:
+            nodes_[i].still_until = clock_.now() + span;
+            break;
+        case 1:
+            cut_zone(harsh_rng_() % 2 ? "a" : "b", span);
+            break;
+        case 2:
+            for (auto& [host, w] : workers_) {
+                if (w->gone() || harsh_rng_() % 3 != 0) continue;
+                harsh_rng_() % 2 ? cloud_.take(host) : cloud_.fail(host);
+            }
+            break;
+        default:
+            state_slow_until_ = clock_.now() + span;
+    }
+}
+
+// A zone cut off from everything, a node in it included; what was sent meanwhile is held.
+void World::cut_zone(const std::string& region, Millis span) {
+    const auto until = clock_.now() + span;
+    for (auto& [host, w] : workers_) {
+        if (!w->gone() && w->region() == region) worker_cuts_[host] = {Cut::hold, until};
+    }
+    const auto i = harsh_rng_() % nodes_.size();
+    auto& node = nodes_[i];
+    node.from_state = node.from_workers = node.from_nodes = Cut::hold;
+    node.cut_until = until;
+    clock_.at(until, [this, i] {
+        auto& n = nodes_[i];
+        if (clock_.now() < n.cut_until) return;
+        n.from_state = n.from_workers = n.from_nodes = Cut::none;
+        n.refused = false;
+    });
+}
+
 // ---- rules ----
 
 void World::broken(const std::string& rule, const std::string& detail) {
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -29,6 +29,9 @@
     // lower priority among them.
     bool urgent_flow = false;
     double task_s = 0;  // run time of every task; 0: by class
+    // Troubles of the larger fleets besides: nodes that stand still, zones cut off with packets
+    // held, machines dying together, a slow state service, repeats of requests carried out.
+    bool harsh = false;
 };
 
 class World : public WorkerHost {
@@ -72,6 +75,7 @@
         Cut from_nodes = Cut::none;
         bool refused = false;  // by the state service alone
         Instant cut_until{};
+        Instant still_until{};  // it stands still, and its clock runs on
         std::map<RequestId, std::function<void(const core::Answer&)>> waiting;
     };
     struct User {
@@ -119,10 +123,16 @@
     void poll(User& user);
     void abort(User& user);
     void told(User& user, const core::Answer& answer);
+    void repeat_user(User& user, const std::string& target, const std::string& body);
     void ask_unknown();
 
     void plan_fault();
     void fault();
+    void plan_harsh();
+    void harsh_fault();
+    void cut_zone(const std::string& region, Millis span);
+    void repeat_later(std::size_t node, const core::HttpCall& call);
+    Millis state_delay();
     void step_once(Instant limit);
     void copy_later(std::size_t node, const std::string& body);
     void check();
@@ -132,6 +142,7 @@
 
     Options options_;
     std::mt19937_64 rng_;
+    std::mt19937_64 harsh_rng_;  // its own, so that harsh days leave the others as they are
     Clock clock_;
     core::Config config_;
     StateStandIn state_;
@@ -149,6 +160,7 @@
     double lost_answers_ = 0;
     Instant troubles_end_{};
     Instant commands_held_until_{};
+    Instant state_slow_until_{};
     Instant next_ledger_check_{};
     Instant next_check_{};
 };
--- a/tests/simulation_test.cpp
+++ b/tests/simulation_test.cpp
@@ -151,5 +151,22 @@
 }
 INSTANTIATE_TEST_SUITE_P(Seeds, Crowded, testing::Values(1004, 1036, 1216, 1421, 1511, 1607, 3222));
 
+// Troubles of the larger fleets, on top of the others.
+class Harsh : public testing::TestWithParam<std::uint64_t> {};
+
+TEST_P(Harsh, RulesHold) {
+    Options options;
+    options.harsh = true;
+    options.seed = GetParam();
+    options.fault_every_s = options.seed % 3 == 0 ? 3 : options.seed % 3 == 1 ? 6 : 12;
+    options.jobs = 30 + static_cast<int>(options.seed % 40);
+    options.machines = 4 + options.seed % 12;
+    World world(options);
+    world.run();
+    EXPECT_TRUE(world.broken_rules().empty()) << join(world.broken_rules());
+    EXPECT_GT(world.tasks_started(), 0u);
+}
+INSTANTIATE_TEST_SUITE_P(Seeds, Harsh, testing::Range<std::uint64_t>(5000, 5024));
+
 }  // namespace
 }  // namespace dunebridge::sim
