--- a/src/app/runtime.cpp
+++ b/src/app/runtime.cpp
@@ -54,6 +54,7 @@
 }
 
 void Runtime::run() {
+    front_->on_growth([this] { share_sockets(); });
     front_->start();
     back_->start();
     asio::co_spawn(io_, sweep(), asio::detached);
@@ -130,12 +131,19 @@
     post(core::CallDone{c.id, std::move(reply)});
 }
 
+// A connection that is kept spares a new one for the next command, so the workers have the places
+// that the front does not use.
+void Runtime::share_sockets() {
+    commands_.set_max(sockets_.commands_beside(front_->connections()));
+}
+
 asio::awaitable<void> Runtime::sweep() {
     asio::steady_timer timer(io_);
     for (;;) {
         timer.expires_after(kSweepEvery);
         co_await timer.async_wait(asio::use_awaitable);
         for (auto* client : {&services_, &peers_, &commands_}) client->sweep();
+        share_sockets();
         spdlog::debug("node={} event=sockets front={} back={} services={} peers={} commands={}",
                       config_.name.get(), front_->connections(), back_->connections(),
                       services_.connections(), peers_.connections(), commands_.connections());
--- a/src/app/runtime.hpp
+++ b/src/app/runtime.hpp
@@ -23,6 +23,7 @@
     void give_up(core::Effects&& effects);
     void arm(Instant wake);
     boost::asio::awaitable<void> call(core::HttpCall call);
+    void share_sockets();
     boost::asio::awaitable<void> sweep();
     static Instant now();
 
--- a/src/core/config.hpp
+++ b/src/core/config.hpp
@@ -46,9 +46,9 @@
 struct SocketBudget {
     std::size_t service = 0;   // out, to the state service and the cloud
     std::size_t peers = 0;     // out, to other controllers
-    std::size_t commands = 0;  // out, to workers
     std::size_t back = 0;      // in, from other controllers
     std::size_t front = 0;     // in, from users, health probes and workers
+    std::size_t commands = 0;  // out, to workers; what `front` leaves free may be used besides
 
     explicit SocketBudget(std::size_t limit) {
         const auto share = [&](std::size_t part, std::size_t most) {
@@ -61,6 +61,10 @@
         commands = limit / 6;
         front = limit - std::min(limit, own + service + peers + back + commands);
     }
+    // As long as the front has so many connections.
+    std::size_t commands_beside(std::size_t front_now) const {
+        return commands + front - std::min(front, front_now);
+    }
 };
 
 struct Config {
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -17,6 +17,7 @@
 
 namespace {
 constexpr std::size_t kIdlePerAddress = 8;
+constexpr std::size_t kFirstBuffer = 2 * 1024;  // most answers are read at once
 constexpr std::size_t kKeptBuffer = 64 * 1024;
 // Watches have no size limit by protocol; this one only keeps a broken peer from filling memory.
 constexpr std::uint64_t kResponseLimit = 16 * 1024 * 1024;
@@ -26,6 +27,7 @@
     Connection(asio::io_context& io, std::shared_ptr<std::size_t> count)
         : open(std::move(count)), socket(io), deadline(io) {
         ++*open;
+        buffer.reserve(kFirstBuffer);
     }
     ~Connection() { --*open; }
     Connection(const Connection&) = delete;
@@ -142,6 +144,11 @@
     co_return core::HttpReply{static_cast<int>(response.result_int()), std::move(response.body())};
 }
 
+void HttpClient::set_max(std::size_t max_connections) {
+    max_connections_ = max_connections;
+    while (*open_ > max_connections_ && !idle_.empty()) drop_oldest();
+}
+
 void HttpClient::sweep() {
     const auto limit = std::chrono::steady_clock::now() - idle_limit_;
     while (!idle_.empty() && idle_.front().second->used < limit) drop_oldest();
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -29,6 +29,8 @@
                                                  std::string target, std::string body,
                                                  Millis timeout);
     void sweep();
+    // Another bound from now on; idle connections beyond it are closed.
+    void set_max(std::size_t max_connections);
     std::size_t connections() const { return *open_; }
 
   private:
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -19,7 +19,9 @@
 constexpr auto kPatience = std::chrono::seconds(10);
 constexpr std::size_t kHeaderLimit = 8 * 1024;
 constexpr std::size_t kKeptBuffer = 16 * 1024;
-constexpr int kBacklog = 4096;  // every worker may return within the same second
+constexpr int kAcceptedAtOnce = 64;
+constexpr std::size_t kFirstBuffer = 2 * 1024;  // most requests are read at once
+constexpr int kBacklog = 4096;                  // every worker may return within the same second
 // The groups' shares of the places: fresh, worker, user.
 constexpr std::array<double, 3> kShares{0.05, 0.75, 0.2};
 // Above this part of all places, groups over their share keep no connection open.
@@ -56,6 +58,7 @@
     acceptor_.open(endpoint.protocol());
     acceptor_.set_option(tcp::acceptor::reuse_address(true));
     acceptor_.bind(endpoint);
+    acceptor_.non_blocking(true);
     acceptor_.listen(kBacklog);
 }
 
@@ -75,15 +78,34 @@
             co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ec));
             continue;
         }
-        if (sessions_.size() >= limits_.connections && !make_place()) continue;  // closes it
-        socket.set_option(tcp::no_delay(true), ec);
-        auto session = std::make_shared<Session>(std::move(socket));
-        sessions_.emplace(session.get(), session);
-        join(*session, Group::fresh);
-        asio::co_spawn(io_, serve(session), asio::detached);
+        welcome(std::move(socket));
+        accept_waiting();
+        grown_();
     }
 }
 
+// Those that wait besides, many at a time: when every worker returns, one in each turn of a busy
+// loop would be too few, and those who gave up meanwhile would hold the places in the queue.
+void HttpServer::accept_waiting() {
+    error_code ec;
+    for (int n = 0; n < kAcceptedAtOnce; ++n) {
+        tcp::socket socket(io_);
+        acceptor_.accept(socket, ec);
+        if (ec) return;
+        welcome(std::move(socket));
+    }
+}
+
+void HttpServer::welcome(tcp::socket socket) {
+    if (sessions_.size() >= limits_.connections && !make_place()) return;  // closes it
+    error_code ec;
+    socket.set_option(tcp::no_delay(true), ec);
+    auto session = std::make_shared<Session>(std::move(socket));
+    sessions_.emplace(session.get(), session);
+    join(*session, Group::fresh);
+    asio::co_spawn(io_, serve(session), asio::detached);
+}
+
 double HttpServer::fullness(Group group) const {
     const auto g = static_cast<std::size_t>(group);
     return static_cast<double>(counts_[g]) /
@@ -161,6 +183,7 @@
 
 asio::awaitable<void> HttpServer::serve(std::shared_ptr<Session> session) {
     boost::beast::flat_buffer buffer;
+    buffer.reserve(kFirstBuffer);
     bool keep = true;
     while (keep) {
         http::request_parser<http::string_body> parser;
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -38,6 +38,8 @@
 
     HttpServer(boost::asio::io_context& io, const std::string& address, Limits limits,
                std::uint64_t id_base, Handler handler);
+    // Called when connections have come.
+    void on_growth(std::function<void()> grown) { grown_ = std::move(grown); }
     void start();
     // Hands an answer to the connection that waits for it, if it is still there.
     void answer(core::Answer&& answer);
@@ -51,6 +53,8 @@
     struct Session;
     using Sessions = std::list<Session*>;
     boost::asio::awaitable<void> accept_loop();
+    void accept_waiting();
+    void welcome(boost::asio::ip::tcp::socket socket);
     boost::asio::awaitable<void> serve(std::shared_ptr<Session> session);
     boost::asio::awaitable<void> sweep();
     void close_overdue();
@@ -67,6 +71,7 @@
     Limits limits_;
     std::uint64_t next_id_;
     Handler handler_;
+    std::function<void()> grown_ = [] {};
     std::unordered_map<Session*, std::weak_ptr<Session>> sessions_;
     std::array<std::size_t, kGroups> counts_{};
     std::array<Sessions, kGroups> idle_;  // wait for a request; the one quiet for longest first
