Passes decide what cannot be helped once for like tasks; fewer passes while very many jobs wait

Each urgent job looked through all machines for room to come and for tasks to stop, although like tasks had found none; guarantees were reckoned where no team has one, through a map; the greeting was encoded once for each peer; the timer was set anew in every step.

--- a/src/app/runtime.cpp
+++ b/src/app/runtime.cpp
@@ -89,11 +89,16 @@
     arm(core_.wake());
 }
 
+// A timer that fires sooner than it need is left alone: setting it costs more than an idle step.
 void Runtime::arm(Instant wake) {
-    const auto delay = std::max<Millis>(wake - now(), Millis(1));
-    timer_.expires_after(delay);
+    const auto time = now();
+    if (armed_ > time && armed_ <= wake) return;
+    armed_ = std::max(wake, time + Millis(1));
+    timer_.expires_after(armed_ - time);
     timer_.async_wait([this](boost::system::error_code ec) {
-        if (!ec && !step_posted_) step();
+        if (ec) return;
+        armed_ = Instant{};
+        if (!step_posted_) step();
     });
 }
 
--- a/src/app/runtime.hpp
+++ b/src/app/runtime.hpp
@@ -39,6 +39,7 @@
     std::vector<core::Command> queue_;
     bool step_posted_ = false;
     boost::asio::steady_timer timer_{io_};
+    Instant armed_{};  // when it fires; zero: not set
 };
 
 }  // namespace dunebridge::app
--- a/src/cluster/peers.cpp
+++ b/src/cluster/peers.cpp
@@ -50,18 +50,19 @@
 void Peers::tick() {
     if (port_.now() >= next_) {
         next_ = port_.now() + kEvery;
-        for (const auto& node : config_.known) send(node);
+        auto own = own_();
+        if (own.progress.size() > kMostProgress) own.progress.resize(kMostProgress);
+        const auto body = encode(own);
+        for (const auto& node : config_.known) send(node, body);
     }
     port_.wake_at(next_);
 }
 
-void Peers::send(const core::KnownNode& node) {
+void Peers::send(const core::KnownNode& node, const std::string& hello) {
     auto& peer = peers_[node.name];
     if (peer.in_flight) return;
     peer.in_flight = true;
-    auto hello = own_();
-    if (hello.progress.size() > kMostProgress) hello.progress.resize(kMostProgress);
-    port_.call(core::Service::peer, node.back, "POST", "/hello", encode(hello), Millis(1500),
+    port_.call(core::Service::peer, node.back, "POST", "/hello", hello, Millis(1500),
                [this, name = node.name](const core::HttpReply& reply) {
                    peers_[name].in_flight = false;
                    if (reply.status != 200) return;
--- a/src/cluster/peers.hpp
+++ b/src/cluster/peers.hpp
@@ -59,7 +59,7 @@
         bool in_flight = false;
     };
     bool lately(const Peer& peer) const;
-    void send(const core::KnownNode& node);
+    void send(const core::KnownNode& node, const std::string& hello);
 
     core::Port& port_;
     const core::Config& config_;
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -7,6 +7,7 @@
 namespace {
 constexpr Millis kTick{100};
 constexpr Millis kScheduleEvery{50};
+constexpr Millis kScheduleMost{200};
 constexpr Millis kUpkeepEvery{250};
 constexpr Millis kForgetEvery{5000};
 constexpr Millis kRelayFor{30000};
@@ -296,8 +297,9 @@
         port_.wake_at(next_schedule_);
         return;
     }
-    next_schedule_ = port_.now() + kScheduleEvery;
-    scheduler_.run();
+    // Where very many jobs wait, machines are full and passes are long: they may be fewer.
+    const auto waiting = static_cast<std::int64_t>(scheduler_.run());
+    next_schedule_ = port_.now() + std::clamp(Millis(waiting / 2), kScheduleEvery, kScheduleMost);
 }
 
 }  // namespace dunebridge::core
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -195,6 +195,9 @@
         ++up;
         if (workers_.late(m)) ++silent;
     }
+    tasks_of_ended_ = std::any_of(ledger_.jobs().begin(), ledger_.jobs().end(), [](const auto& j) {
+        return j.second.state == JobState::ended && j.second.placed > 0;
+    });
     many_silent_ = silent >= kManySilent && silent * 2 > up;
     for (auto& [host, m] : ledger_.machines()) check_machine(m);
 }
@@ -251,6 +254,7 @@
         remove(m, "drained");
     }
     save_tasks(m);
+    if (!tasks_of_ended_) return;
     // Tasks of cancelled jobs must be gone in time, reachable or not.
     for (const auto& [key, p] : m.tasks) {
         if (p.job->state == JobState::ended && now - p.job->ended_at > config_.cancel * 2 / 5) {
--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -79,6 +79,7 @@
     std::map<Market, Refused> refused_;
     std::uint64_t claim_count_ = 0;
     bool many_silent_ = false;
+    bool tasks_of_ended_ = false;  // some machine has tasks of a job that is over
     Instant next_resize_{};
     Instant next_check_{};
     Instant last_load_{};
--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <limits>
+#include <string_view>
 #include <tuple>
+#include <unordered_set>
 
 namespace dunebridge::scheduler {
 
@@ -37,9 +39,9 @@
     }
 }
 
-void Scheduler::run() {
+std::size_t Scheduler::run() {
     const auto entries = waiting_jobs();
-    if (entries.empty()) return;
+    if (entries.empty()) return 0;
     find_rooms(entries);
     for (const auto& entry : entries) entry.aged ? begin(entry) : place(entry);
     for (const auto& entry : entries) {
@@ -48,7 +50,9 @@
     machines_.clear();
     rooms_.clear();
     nowhere_.clear();
+    exhausted_.clear();
     victims_.reset();
+    return entries.size();
 }
 
 void Scheduler::find_rooms(const std::vector<Entry>& entries) {
@@ -89,7 +93,10 @@
 
 // A job is within its team's guarantee if it fits into it together with the team's earlier
 // unfinished jobs.
-std::map<const Job*, bool> Scheduler::within_guarantee() const {
+void Scheduler::mark_guaranteed(std::vector<Entry>& entries) const {
+    const bool any = std::any_of(config_.teams.begin(), config_.teams.end(),
+                                 [](const auto& t) { return t.cpus > 0 || t.gpus > 0; });
+    if (!any) return;
     std::vector<const Job*> open;
     for (const auto& [id, job] : ledger_.jobs()) {
         if (job.state == JobState::open) open.push_back(&job);
@@ -97,18 +104,19 @@
     std::sort(open.begin(), open.end(), [](const Job* a, const Job* b) {
         return std::tie(a->submitted, a->serial) < std::tie(b->submitted, b->serial);
     });
-    std::map<std::string, core::TeamUse> sums;
-    std::map<const Job*, bool> within;
+    std::map<std::string_view, std::pair<const core::Team*, core::TeamUse>> sums;
+    for (const auto& team : config_.teams) sums[team.name].first = &team;
+    std::unordered_set<const Job*> within;
     for (const auto* job : open) {
-        const auto* team = config_.find_team(job->spec.owner);
-        if (!team) continue;
-        auto& sum = sums[job->spec.owner];
+        const auto it = sums.find(job->spec.owner);
+        if (it == sums.end()) continue;
+        auto& [team, sum] = it->second;
         const double tasks = job->spec.shards - job->done;
         sum.cpus += tasks * job->spec.cores;
         sum.gpus += tasks * job->spec.accelerators;
-        within[job] = sum.cpus <= team->cpus && sum.gpus <= team->gpus;
+        if (sum.cpus <= team->cpus && sum.gpus <= team->gpus) within.insert(job);
     }
-    return within;
+    for (auto& e : entries) e.guaranteed = within.contains(e.job);
 }
 
 Instant Scheduler::due(const Job& job) const {
@@ -146,24 +154,24 @@
             continue;
         }
         const bool aged = !job.begun() && port_.now() - job.submitted > kAged;
-        out.push_back({&job, false, aged, due(job)});
+        out.push_back({&job, false, aged, due(job), {}});
     }
     if (out.empty()) return out;
-    const auto within = within_guarantee();
+    mark_guaranteed(out);
     for (auto& e : out) {
-        const auto it = within.find(e.job);
-        e.guaranteed = it != within.end() && it->second;
+        const int first = e.aged ? 0 : high(*e.job) || e.guaranteed ? 1 : 2;
+        e.rank = {first, -static_cast<int>(e.job->spec.urgency), e.due, e.job->serial};
     }
-    std::sort(out.begin(), out.end(), [&](const Entry& a, const Entry& b) {
-        const auto rank = [&](const Entry& e) {
-            const int first = e.aged ? 0 : high(*e.job) || e.guaranteed ? 1 : 2;
-            return std::tuple{first, -static_cast<int>(e.job->spec.urgency), e.due, e.job->serial};
-        };
-        return rank(a) < rank(b);
-    });
+    std::sort(out.begin(), out.end(),
+              [](const Entry& a, const Entry& b) { return a.rank < b.rank; });
     return out;
 }
 
+Scheduler::Kind Scheduler::kind_of(const Job& job) const {
+    const auto& spec = job.spec;
+    return {spec.cores, spec.accelerators, spec.ram_gb, spec.reclaimable, spec.region, spec.shapes};
+}
+
 std::size_t Scheduler::quota_left(const Job& job) const {
     const auto* team = config_.find_team(job.spec.owner);
     if (!team) return 0;
@@ -204,8 +212,7 @@
     const auto& spec = job.spec;
     // Where the zones of the job's other tasks matter, it is decided by itself.
     const bool alone = spec.together || spec.apart;
-    const Kind kind{spec.cores,       spec.accelerators, spec.ram_gb,
-                    spec.reclaimable, spec.region,       spec.shapes};
+    const auto kind = kind_of(job);
     if (!alone && nowhere_.contains(kind)) return 0;
     const auto need = job.need();
     std::size_t placed = 0;
@@ -293,6 +300,8 @@
 // Promises room to tasks that fit nowhere: first what tasks being stopped will leave, then what
 // the first fitting best-effort tasks leave that are stopped for it.
 void Scheduler::make_room(const Job& job, std::size_t tasks) {
+    const bool alone = job.spec.together || job.spec.apart;
+    if (!alone && exhausted_.contains(kind_of(job))) return;
     const auto need = job.need();
     const auto promise = [&](std::size_t i) {
         while (tasks > 0 && rooms_[i].later.holds(need)) {
@@ -320,6 +329,7 @@
         port_.log(core::LogLevel::info, "event=preempt victim={} for={} host={}",
                   victim->ref().str(), job.spec.id.get(), machines_[i]->host.get());
     }
+    if (tasks > 0 && !alone) exhausted_.insert(kind_of(job));
 }
 
 }  // namespace dunebridge::scheduler
--- a/src/scheduler/scheduler.hpp
+++ b/src/scheduler/scheduler.hpp
@@ -24,8 +24,8 @@
     Scheduler(core::Port& port, core::Ledger& ledger, workers::Workers& workers,
               fleet::Fleet& fleet, const core::Config& config);
 
-    // One pass: places what waits, and stops what must make room.
-    void run();
+    // One pass: places what waits, and stops what must make room. Returns how many jobs waited.
+    std::size_t run();
 
   private:
     struct Entry {
@@ -33,6 +33,7 @@
         bool guaranteed = false;  // within its team's guarantee
         bool aged = false;        // has waited long without a single task begun
         Instant due{};
+        std::tuple<int, int, Instant, std::uint64_t> rank;  // the least goes first
     };
     // What the settings ask of a class of jobs, in seconds from submission.
     struct Asked {
@@ -44,7 +45,8 @@
                             std::optional<std::vector<std::string>>>;
 
     std::vector<Entry> waiting_jobs();
-    std::map<const core::Job*, bool> within_guarantee() const;
+    void mark_guaranteed(std::vector<Entry>& entries) const;
+    Kind kind_of(const core::Job& job) const;
     Instant due(const core::Job& job) const;
     Instant start_by(const Entry& entry) const;
     void find_rooms(const std::vector<Entry>& entries);
@@ -71,7 +73,8 @@
     // Of the pass under way.
     std::vector<core::Machine*> machines_;
     std::vector<Room> rooms_;
-    std::set<Kind> nowhere_;
+    std::set<Kind> nowhere_;    // fit no machine now
+    std::set<Kind> exhausted_;  // nor does stopping others help them
     struct Victim {
         core::Placement* placement;
         std::size_t room;
