--- a/tests/scripted_test.cpp
+++ b/tests/scripted_test.cpp
@@ -88,13 +88,53 @@
     s.checkin(w.next());
     s.run(Millis(400));  // the task is placed anew, and that is on record
     ASSERT_EQ(s.directs().size(), 1u);
-    EXPECT_EQ(find(s.checkin(w.next()).second, Verb::clear, task), nullptr);
+    const auto reply = s.checkin(w.next()).second;
+    EXPECT_EQ(find(reply, Verb::clear, task), nullptr);
+    w.report.epoch = reply.epoch;
     s.answer(under_way, 200, w.next());
     s.run(Millis(100));
     ASSERT_EQ(s.directs().size(), 1u);
     EXPECT_NE(find(s.directs()[0].commands, Verb::clear, task), nullptr);
 }
 
+// A direct command that was carried out may come once more, much later. Whatever clears its attempt
+// carries an epoch that refuses it.
+TEST(Scripted, ClearingRefusesRepeatsOfTheCommandThatStarted) {
+    Script s(1);
+    s.run(Millis(3000));
+    ASSERT_EQ(s.submit(job(1)), 201);
+    auto w = s.machine(0);
+    greet(s, w);
+    ASSERT_EQ(s.directs().size(), 1u);
+    const auto direct = s.directs()[0];
+    w.report.tasks.push_back(running(direct.commands.orders.at(0)));
+    s.answer(direct, 200, w.next());
+    s.run(Millis(60));
+    w.report.tasks.back().phase = TaskPhase::exited;
+    w.report.tasks.back().reason = ExitReason::done;
+    s.checkin(w.next());
+    s.run(Millis(3000));  // the end is on record
+    const auto reply = s.checkin(w.next()).second;
+    ASSERT_NE(find(reply, Verb::clear, {job(1).id, 0}), nullptr);
+    EXPECT_GT(reply.epoch, direct.commands.epoch);
+}
+
+// A leader that stood still for longer than its lease may have been replaced: it answers none of
+// what waited for it as one entitled to.
+TEST(Scripted, NothingIsAnsweredAsTheLeaderAfterAStandStill) {
+    Script s(1);
+    s.run(Millis(3000));
+    ASSERT_EQ(s.submit(job(1)), 201);
+    auto w = s.machine(0);
+    greet(s, w);
+    ASSERT_EQ(s.checkin(w.next()).first, 200);
+    s.stand_still(Millis(9000));
+    EXPECT_EQ(s.checkin(w.next()).first, 503);
+    s.run(Millis(3000));
+    EXPECT_TRUE(s.leads());
+    EXPECT_EQ(s.checkin(w.next()).first, 200);
+}
+
 // The start went with a check-in's answer; a direct command that repeats it cannot be sent. That
 // one was not executed proves nothing about the other.
 TEST(Scripted, AnUnsentCommandDoesNotUndoTheAnswerBeforeIt) {
--- a/tests/sim/cloud_stand_in.cpp
+++ b/tests/sim/cloud_stand_in.cpp
@@ -20,6 +20,7 @@
 HttpReply CloudStandIn::handle(const std::string& method, const std::string& target,
                                const std::string& body) {
     if (outage_) return {503, Writer().map(1).text("error").text("trouble").take()};
+    if (over_rate()) return {429, {}};
     if (target == "/machine_types") {
         Writer w;
         w.map(1).text("shapes").list(types_.size());
@@ -39,6 +40,19 @@
     return {404, {}};
 }
 
+// Bursts of two seconds' worth are allowed.
+bool CloudStandIn::over_rate() {
+    if (rps_ <= 0) return false;
+    tokens_ = std::min(2 * rps_, tokens_ + rps_ * to_seconds(clock_.now() - refilled_));
+    refilled_ = clock_.now();
+    if (tokens_ >= 1) {
+        tokens_ -= 1;
+        return false;
+    }
+    ++refusals_;
+    return true;
+}
+
 std::size_t CloudStandIn::alive() const {
     return static_cast<std::size_t>(
         std::count_if(machines_.begin(), machines_.end(), [](const auto& m) {
@@ -110,7 +124,7 @@
     bool more = false;
     for (const auto& [host, m] : machines_) {
         if (host.get() <= from || m.rented > at || m.gone <= at) continue;
-        if (rows.size() == 7) {
+        if (rows.size() == page_) {
             more = true;
             break;
         }
--- a/tests/sim/cloud_stand_in.hpp
+++ b/tests/sim/cloud_stand_in.hpp
@@ -34,6 +34,12 @@
     core::HttpReply handle(const std::string& method, const std::string& target,
                            const std::string& body);
     void set_outage(bool outage) { outage_ = outage; }
+    // Calls a second above which it refuses, and the rows of a page of its list.
+    void set_limits(double rps, std::size_t page) {
+        rps_ = rps;
+        page_ = page;
+    }
+    std::uint64_t refusals() const { return refusals_; }
     void set_capacity(std::size_t most) { most_machines_ = most; }
     // The machine vanishes without the service's wish.
     void take(const HostName& host);
@@ -43,6 +49,7 @@
     std::size_t alive() const;
 
   private:
+    bool over_rate();
     core::HttpReply rent(const std::string& body);
     core::HttpReply remove(const std::string& body);
     core::HttpReply list(const std::string& target);
@@ -54,6 +61,11 @@
     std::mt19937_64 rng_;
     Events events_;
     bool outage_ = false;
+    double rps_ = 0;  // 0: none
+    double tokens_ = 0;
+    Instant refilled_{};
+    std::size_t page_ = 7;
+    std::uint64_t refusals_ = 0;
     std::map<HostName, Machine> machines_;
     std::map<std::string, std::string> claims_;
 };
--- a/tests/sim/script.cpp
+++ b/tests/sim/script.cpp
@@ -59,6 +59,12 @@
     }
 }
 
+void Script::stand_still(Millis span) {
+    const auto end = clock_.now() + span;
+    while (clock_.step(end)) {
+    }
+}
+
 void Script::step() {
     std::vector<core::Command> batch;
     batch.swap(queue_);
--- a/tests/sim/script.hpp
+++ b/tests/sim/script.hpp
@@ -27,6 +27,8 @@
     explicit Script(std::size_t most_machines);
 
     void run(Millis span);
+    // The controller stands still while the clock and the others go on.
+    void stand_still(Millis span);
     // A new incarnation of the controller, with nothing but the state service's word.
     void restart();
 
--- a/tests/sim/state_stand_in.cpp
+++ b/tests/sim/state_stand_in.cpp
@@ -179,7 +179,7 @@
 void StateStandIn::list(const std::string& query, const Reply& reply) {
     const auto prefix = parameter(query, "starts");
     const auto from = parameter(query, "from");
-    const auto page = std::min<std::uint64_t>(number(parameter(query, "page")), 20);
+    const auto page = std::min<std::uint64_t>(number(parameter(query, "page")), limits_.page);
     std::vector<const std::pair<const std::string, Entry>*> rows;
     bool more = false;
     for (const auto& row : keys_) {
--- a/tests/sim/state_stand_in.hpp
+++ b/tests/sim/state_stand_in.hpp
@@ -34,6 +34,7 @@
         double write_rps = 80;
         std::size_t txn_ops = 48;
         std::size_t value_bytes = 16 * 1024;
+        std::size_t page = 20;
     };
     void set_limits(const Limits& limits) { limits_ = limits; }
     std::uint64_t changes() const { return changes_made_; }
--- a/tests/sim/worker_stand_in.cpp
+++ b/tests/sim/worker_stand_in.cpp
@@ -61,6 +61,20 @@
     return out;
 }
 
+bool WorkerStandIn::has(const TaskRef& task) {
+    if (gone_ || clock_.now() - lease_from_ > config_.lease) return false;
+    const auto it = tasks_.find(task);
+    return it != tasks_.end() && it->second.phase != TaskPhase::exited;
+}
+
+std::uint32_t WorkerStandIn::present_of(const JobId& job, const TaskRef& aside) {
+    std::uint32_t n = 0;
+    for (auto it = tasks_.lower_bound({job, 0}); it != tasks_.end() && it->first.job == job; ++it) {
+        if (it->first != aside && has(it->first)) ++n;
+    }
+    return n;
+}
+
 void WorkerStandIn::advance() {
     for (auto& [task, t] : tasks_) {
         if (t.phase == TaskPhase::exited || clock_.now() < t.next) continue;
--- a/tests/sim/worker_stand_in.hpp
+++ b/tests/sim/worker_stand_in.hpp
@@ -64,6 +64,9 @@
     std::string endpoint() const { return "worker:" + host_.get(); }
     // Tasks that are on the machine: neither exited nor killed. Ends leases that are over.
     std::set<TaskRef> present();
+    // How many of the job's tasks are on the machine, the named one aside.
+    std::uint32_t present_of(const JobId& job, const TaskRef& aside);
+    bool has(const TaskRef& task);
     Attempt attempt(const TaskRef& task) const { return tasks_.at(task).attempt; }
 
   private:
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -30,6 +30,16 @@
     c.cancel = Millis(40000);
     c.list_lag = Millis(4000);
     c.cloud_rps = 5;
+    if (options.fleet) {
+        c.report = Millis(8000);
+        c.lease = Millis(36000);
+        c.cancel = Millis(56000);
+        c.list_lag = Millis(8000);
+        c.state_rps = 180;
+        c.state_write_rps = 70;
+        c.cloud_rps = 3;
+        c.fd_limit = 2928;
+    }
     return c;
 }
 
@@ -73,6 +83,11 @@
     options.urgent_flow ? make_flow() : make_users(options.jobs);
     if (options.fault_every_s > 0) plan_fault();
     if (options.harsh) plan_harsh();
+    if (!options.fleet) return;
+    state_.set_limits({config_.state_rps, config_.state_write_rps, config_.state_txn_ops,
+                       static_cast<std::size_t>(config_.state_value_kb * 1024), 1000});
+    cloud_.set_limits(config_.cloud_rps, 500);
+    check_every_ = check_ledger_every_ = Millis(1000);
 }
 
 World::~World() = default;
@@ -343,7 +358,7 @@
     const auto& user = users_.at(task.job);
     const auto& spec = user.spec;
     for (auto& [other, worker] : workers_) {
-        if (other != host && worker->present().contains(task)) {
+        if (other != host && worker->has(task)) {
             broken("ran_twice", task.str() + " on " + host.get() + " and " + other.get());
         }
     }
@@ -356,9 +371,9 @@
     }
     std::map<std::string, std::uint32_t> zones;
     for (auto& [other, w] : workers_) {
-        for (const auto& t : w->present()) {
-            if (t.job == task.job && t != task) ++zones[w->region()];
-        }
+        if (!spec.together && !spec.apart) break;
+        const auto n = w->present_of(task.job, task);
+        if (n > 0) zones[w->region()] += n;
     }
     if (spec.together && !zones.empty() && !zones.contains(worker.region())) {
         broken("wrong_place", task.str() + " away from its job's zone");
@@ -787,16 +802,35 @@
     return out;
 }
 
+double World::least_served() const {
+    std::map<std::string, std::pair<double, double>> groups;  // done, all
+    for (const auto& [id, user] : users_) {
+        if (user.abort_asked) continue;
+        for (const auto& name : {"class " + user.spec.jobclass, "team " + user.spec.owner}) {
+            groups[name].first += user.final == JobPhase::done ? 1 : 0;
+            groups[name].second += 1;
+        }
+    }
+    double least = 1;
+    for (const auto& [name, g] : groups) least = std::min(least, g.first / g.second);
+    return least;
+}
+
+std::size_t World::machines_up() const {
+    return static_cast<std::size_t>(std::count_if(workers_.begin(), workers_.end(),
+                                                  [](const auto& w) { return !w.second->gone(); }));
+}
+
 void World::step_once(Instant limit) {
     clock_.step(limit);
     // A large world is looked at every few milliseconds; what starts is checked as it starts.
     if (workers_.size() <= 40 || clock_.now() >= next_check_) {
-        next_check_ = clock_.now() + Millis(20);
+        next_check_ = clock_.now() + check_every_;
         check();
     }
     if (clock_.now() < next_ledger_check_) return;
     check_ledger();
-    next_ledger_check_ = clock_.now() + Millis(50);
+    next_ledger_check_ = clock_.now() + check_ledger_every_;
 }
 
 void World::run_for(Millis span) {
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -32,6 +32,9 @@
     // Troubles of the larger fleets besides: nodes that stand still, zones cut off with packets
     // held, machines dying together, a slow state service, repeats of requests carried out.
     bool harsh = false;
+    // A fleet of thousands: the limits of the state service and the cloud are enforced as a site
+    // of that size has them, lists come in full pages, and the rules are looked at less often.
+    bool fleet = false;
 };
 
 class World : public WorkerHost {
@@ -61,6 +64,10 @@
     std::size_t tasks_started() const { return starts_; }
     std::size_t terms() const { return terms_; }
     std::string describe_left() const;
+    const CloudStandIn& cloud() const { return cloud_; }
+    // The least part of any class's or team's jobs, not cancelled, that is done.
+    double least_served() const;
+    std::size_t machines_up() const;
 
   private:
     // deaf: a machine's reports arrive, but no answer and no command reaches it.
@@ -163,6 +170,8 @@
     Instant state_slow_until_{};
     Instant next_ledger_check_{};
     Instant next_check_{};
+    Millis check_every_{20};
+    Millis check_ledger_every_{50};
 };
 
 }  // namespace dunebridge::sim
--- a/tests/simulation_test.cpp
+++ b/tests/simulation_test.cpp
@@ -109,6 +109,37 @@
     EXPECT_LT(static_cast<double>(world.state().changes()) / world.elapsed_s(), 20);
 }
 
+// About the size of the largest fleet times 1.5, with the limits of the state service and the cloud
+// enforced, leader changes, and a third of the machines dying at once.
+TEST(Simulation, FleetOfTwoThousand) {
+    Options options;
+    options.seed = 11;
+    options.fleet = true;
+    options.harsh = true;
+    options.fault_every_s = 30;
+    options.troubles_s = 120;
+    options.jobs = 420;
+    options.machines = 2070;
+    options.most_shards = 200;
+    World world(options);
+    std::size_t most_up = 0;
+    for (int i = 0; i < 20; ++i) {
+        world.run_for(Millis(5000));
+        most_up = std::max(most_up, world.machines_up());
+    }
+    world.crash_leader();
+    world.run();
+    EXPECT_TRUE(world.broken_rules().empty()) << join(world.broken_rules());
+    EXPECT_GT(most_up, 1000u);
+    EXPECT_GT(world.terms(), 1u);
+    EXPECT_GE(world.least_served(), 0.5) << world.describe_left();
+    EXPECT_EQ(world.state().violations(), 0u);
+    // A burst and a second's worth, whoever leads.
+    EXPECT_LE(world.state().most_changes_in_a_second(), 140);
+    EXPECT_LT(static_cast<double>(world.state().changes()) / world.elapsed_s(), 60);
+    EXPECT_LE(world.cloud().refusals(), 20u);
+}
+
 class Troubles : public testing::TestWithParam<std::uint64_t> {};
 
 TEST_P(Troubles, RulesHoldAndJobsEnd) {
