--- /dev/null
+++ b/src/core/ledger_load.cpp
@@ -0,0 +1,246 @@
+// The ledger's beginning: everything is read for the term that has begun, and what others write is
+// followed from then on.
+#include <algorithm>
+
+#include "core/ledger_records.hpp"
+
+namespace dunebridge::core {
+
+using state::Outcome;
+
+namespace {
+constexpr Millis kWatchWait{8000};
+constexpr Millis kWatchRetry{300};
+constexpr Millis kWatchPause{20};
+constexpr Millis kStandAside{20000};
+}  // namespace
+
+void Ledger::load() {
+    clear();
+    generation_ = election_.generation();
+    next_attempt_ = election_.term().get() << kAttemptBits;
+    load_next(0, generation_);
+}
+
+void Ledger::load_next(std::size_t step, std::uint64_t generation) {
+    struct Step {
+        const char* prefix;
+        void (Ledger::*take)(const state::ListResult&);
+    };
+    static constexpr Step steps[] = {{kJobs, &Ledger::load_jobs},
+                                     {kGroups, &Ledger::load_groups},
+                                     {kProgress, &Ledger::load_progress}};
+    if (step == std::size(steps)) {
+        std::vector<JobId> ids;
+        for (const auto& [id, job] : jobs_) ids.push_back(id);
+        check_ends(std::move(ids), generation);
+        return;
+    }
+    store_.list(steps[step].prefix, [this, step, generation](const state::ListResult& result) {
+        if (!current(generation)) return;
+        if (!result.answered) {
+            // Without its ledger this node can do nothing: a new term reads it again.
+            election_.renew_term();
+            return;
+        }
+        if (step == 0) load_rev_ = result.rev;
+        (this->*steps[step].take)(result);
+        if (current(generation)) load_next(step + 1, generation);
+    });
+}
+
+// A record that cannot be read stops the load: going on without it would lose a job or a task. A
+// node that knows the format may lead meanwhile.
+void Ledger::bad_record(const std::string& key, const std::string& error) {
+    port_.log(LogLevel::error, "event=bad_record key={} error=\"{}\"", key, error);
+    election_.resign(kStandAside);
+}
+
+void Ledger::load_jobs(const state::ListResult& result) {
+    for (const auto& row : result.rows) {
+        try {
+            add_job(wire::decode_job(row.value["spec"]),
+                    static_cast<std::int64_t>(row.value["at"].need_count("at")));
+        } catch (const wire::DecodeError& e) {
+            bad_record(row.key, e.what());
+            return;
+        }
+    }
+}
+
+void Ledger::load_groups(const state::ListResult& result) {
+    for (const auto& row : result.rows) {
+        try {
+            need_format(row.value);
+            Group group;
+            group.request = wire::decode_rental(row.value);
+            stored_[row.key] = row.rev;
+            const auto claim = group.request.claim;
+            if (!row.value["hosts"].is_list()) {
+                open_claims_.insert(claim);
+                groups_.emplace(claim, std::move(group));
+                continue;
+            }
+            group.answered = true;
+            for (const auto& host : wire::decode_hosts(row.value)) {
+                auto& machine = new_machine(host);
+                describe(machine, group.request.shape, group.request.region,
+                         group.request.reclaimable);
+                machine.group = claim;
+                group.hosts.insert(host);
+            }
+            groups_.emplace(claim, std::move(group));
+        } catch (const wire::DecodeError& e) {
+            bad_record(row.key, e.what());
+            return;
+        }
+    }
+}
+
+void Ledger::load_progress(const state::ListResult& result) {
+    for (const auto& row : result.rows) {
+        try {
+            need_format(row.value);
+            load_chunk(row);
+        } catch (const wire::DecodeError& e) {
+            bad_record(row.key, e.what());
+            return;
+        }
+    }
+    for (auto& [id, job] : jobs_) {
+        std::erase_if(job.waiting, [&](std::uint32_t i) {
+            return job.tasks[i].done || job.tasks[i].at != nullptr;
+        });
+        job.done = static_cast<std::uint32_t>(std::count_if(job.tasks.begin(), job.tasks.end(),
+                                                            [](const Task& t) { return t.done; }));
+        if (job.state == JobState::open && job.done == job.spec.shards) {
+            job.state = JobState::ending;
+            mark(kEnds + id.get(), Pace::end);
+        }
+    }
+}
+
+void Ledger::load_chunk(const state::Row& row) {
+    const auto slash = row.key.rfind('/');
+    const auto start = std::string_view(kProgress).size();
+    if (slash == std::string::npos || slash <= start) throw wire::DecodeError("key");
+    const JobId id(row.key.substr(start, slash - start));
+    const auto from = static_cast<std::uint32_t>(row.value["from"].need_count("from"));
+    stored_[row.key] = row.rev;
+    Job* job = find_job(id);
+    if (!job) {
+        // The job is over and its record gone; what was recorded counts until proved gone.
+        job = &jobs_[id];
+        job->spec.id = id;
+        job->spec.shards = 0;
+        job->serial = ++next_serial_;
+        job->state = JobState::ended;
+        job->ended_at = port_.now();
+    }
+    if (job->spec.shards == 0 && job->tasks.size() < from + kChunk)
+        job->tasks.resize(from + kChunk);
+    const auto size = static_cast<std::uint32_t>(job->tasks.size());
+    from_hex(row.value["done"].need_text("done"), from, size,
+             [&](std::uint32_t i) { job->tasks[i].done = true; });
+    from_hex(row.value["shielded"].need_text("shielded"), from, size,
+             [&](std::uint32_t i) { job->tasks[i].shielded = true; });
+    const auto base = row.value["base"].need_count("base");
+    const auto hosts = row.value["tasks"];
+    for (std::size_t h = 0; h < hosts.size(); ++h) {
+        const auto entry = hosts.at(h);
+        if (entry.size() < 1) throw wire::DecodeError("tasks");
+        const HostName host(entry.at(0).need_text("host"));
+        for (std::size_t i = 1; i + 1 < entry.size(); i += 2) {
+            const auto index = from + entry.at(i).need_count("index");
+            if (index >= size) throw wire::DecodeError("index");
+            load_placement(*job, static_cast<std::uint32_t>(index), host,
+                           Attempt(base + entry.at(i + 1).need_count("try")));
+        }
+    }
+}
+
+void Ledger::load_placement(Job& job, std::uint32_t index, const HostName& host, Attempt attempt) {
+    Machine* machine = find_machine(host);
+    if (!machine) {
+        // No rental names it (any more): it counts all the same, until it is proved gone.
+        machine = &new_machine(host);
+        leave_group(*machine);
+    }
+    Placement p;
+    p.attempt = attempt;
+    p.committed = true;
+    p.sent = Sent::settled;
+    p.placed_at = port_.now();
+    attach(*machine, job, index, p);
+}
+
+// Which of the open jobs have ended: compare-only transactions that name those with an end.
+void Ledger::check_ends(std::vector<JobId> ids, std::uint64_t generation) {
+    if (ids.empty()) {
+        loaded_ = true;
+        port_.log(LogLevel::info, "event=ledger_loaded term={} jobs={} machines={} claims={}",
+                  election_.term().get(), jobs_.size(), machines_.size(), open_claims_.size());
+        watch(kJobs, load_rev_, generation);
+        watch(kEnds, load_rev_, generation);
+        return;
+    }
+    const auto n = std::min(ids.size(), store_.max_guards() / 2);
+    std::vector<wire::Guard> guards;
+    for (std::size_t i = 0; i < n; ++i) guards.push_back({kEnds + ids[i].get(), KeyRev()});
+    store_.multi(
+        guards, {}, kCommitTimeout,
+        [this, ids = std::move(ids), n, generation](const state::MultiResult& result) mutable {
+            if (!current(generation)) return;
+            if (result.outcome == Outcome::ok) {
+                ids.erase(ids.begin(), ids.begin() + static_cast<std::ptrdiff_t>(n));
+                check_ends(std::move(ids), generation);
+                return;
+            }
+            if (result.outcome != Outcome::conflict || result.failed.empty()) {
+                election_.renew_term();
+                return;
+            }
+            for (const auto& key : result.failed) {
+                const JobId id(after(key, kEnds));
+                withdraw(id, port_.wall_ms());
+                std::erase(ids, id);
+            }
+            check_ends(std::move(ids), generation);
+        });
+}
+
+void Ledger::watch(const char* prefix, KeyRev from, std::uint64_t generation) {
+    store_.watch(prefix, from, kWatchWait,
+                 [this, prefix, from, generation](const state::WatchResult& result) {
+                     if (!current(generation)) return;
+                     if (result.kind == state::WatchResult::Kind::too_old) {
+                         election_.renew_term();
+                         return;
+                     }
+                     const bool failed = result.kind == state::WatchResult::Kind::failed;
+                     for (const auto& change : result.changes) apply_change(change);
+                     // A short pause gathers changes that come together into one answer.
+                     port_.after(failed ? kWatchRetry : kWatchPause,
+                                 [this, prefix, generation, next = failed ? from : result.rev] {
+                                     if (current(generation)) watch(prefix, next, generation);
+                                 });
+                 });
+}
+
+void Ledger::apply_change(const state::Change& change) {
+    if (change.removed) return;
+    if (change.key.starts_with(kJobs)) {
+        try {
+            add_job(wire::decode_job(change.value["spec"]),
+                    static_cast<std::int64_t>(change.value["at"].need_count("at")));
+        } catch (const wire::DecodeError& e) {
+            port_.log(LogLevel::error, "event=bad_record key={} error=\"{}\"", change.key,
+                      e.what());
+        }
+    } else if (change.key.starts_with(kEnds)) {
+        withdraw(JobId(after(change.key, kEnds)),
+                 static_cast<std::int64_t>(change.value["at"].count().value_or(0)));
+    }
+}
+
+}  // namespace dunebridge::core
--- /dev/null
+++ b/src/core/ledger_records.hpp
@@ -0,0 +1,68 @@
+// Names and forms of the ledger's records, for the parts of the ledger itself.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "core/ledger.hpp"
+
+namespace dunebridge::core {
+
+inline constexpr const char* kJobs = "job/";
+inline constexpr const char* kEnds = "end/";
+inline constexpr const char* kProgress = "prog/";
+inline constexpr const char* kGroups = "rent/";
+
+inline constexpr std::uint64_t kFormat = 2;  // of prog/ and rent/ records
+// Tasks in one progress record. Each on a machine of its own takes some 45 bytes, so that a full
+// record stays under 16 KiB.
+inline constexpr std::uint32_t kChunk = 256;
+inline constexpr Millis kCommitTimeout{2500};
+// The rest of the write budget is for submissions and cancellations at any node.
+inline constexpr double kWriteShare = 0.6;
+
+inline std::string after(const std::string& key, std::string_view prefix) {
+    return key.substr(prefix.size());
+}
+
+inline std::string chunk_key(const JobId& id, std::uint32_t chunk) {
+    return kProgress + id.get() + "/" + std::to_string(chunk);
+}
+
+inline std::uint32_t chunks_of(const Job& job) {
+    return static_cast<std::uint32_t>((job.tasks.size() + kChunk - 1) / kChunk);
+}
+
+inline void need_format(const wire::Value& record) {
+    if (record["v"].count() != kFormat) throw wire::DecodeError("unknown version");
+}
+
+// Sets of tasks as text, four to a hexadecimal digit: values may hold no binary data.
+template <class Get>
+std::string to_hex(std::uint32_t from, std::uint32_t to, Get get) {
+    constexpr const char* digits = "0123456789abcdef";
+    std::string out;
+    for (std::uint32_t i = from; i < to; i += 4) {
+        unsigned digit = 0;
+        for (std::uint32_t b = 0; b < 4 && i + b < to; ++b) digit |= get(i + b) ? 1u << b : 0u;
+        out += digits[digit];
+    }
+    while (!out.empty() && out.back() == '0') out.pop_back();
+    return out;
+}
+
+template <class Set>
+void from_hex(std::string_view hex, std::uint32_t from, std::uint32_t size, Set set) {
+    for (std::size_t d = 0; d < hex.size(); ++d) {
+        const char c = hex[d];
+        const unsigned digit =
+            c <= '9' ? static_cast<unsigned>(c - '0') : static_cast<unsigned>(c - 'a') + 10u;
+        for (std::uint32_t b = 0; b < 4; ++b) {
+            const auto index = from + static_cast<std::uint32_t>(d) * 4 + b;
+            if ((digit >> b & 1u) != 0 && index < size) set(index);
+        }
+    }
+}
+
+}  // namespace dunebridge::core
