Tests: one beginning for the scripted scenarios, one end for a node's interruptions

The nine scenarios that began alike call machine_for(); cut_zone() and fault() end an interruption by heal_at().

--- a/tests/scripted_test.cpp
+++ b/tests/scripted_test.cpp
@@ -49,6 +49,15 @@
     s.run(Millis(300));
 }
 
+// A controller that leads, and its first machine, for which the job waits.
+Played machine_for(Script& s, const wire::JobSpec& job) {
+    s.run(Millis(3000));
+    EXPECT_EQ(s.submit(job), 201);
+    auto w = s.machine(0);
+    greet(s, w);
+    return w;
+}
+
 // Runs on while the worker reports every second and hears nothing.
 void report_unheard(Script& s, Played& w, int seconds) {
     for (int i = 0; i < seconds && !s.returned(w.report.host); ++i) {
@@ -61,12 +70,9 @@
 // Clearing the attempt meanwhile would let the late command start it once more.
 TEST(Scripted, NothingIsClearedWhileADirectCommandIsUnderWay) {
     Script s(1);
-    s.run(Millis(3000));
     const auto first = job(1);
     const auto second = job(2);
-    ASSERT_EQ(s.submit(first), 201);
-    auto w = s.machine(0);
-    greet(s, w);
+    auto w = machine_for(s, first);
     ASSERT_EQ(s.directs().size(), 1u);
     ASSERT_EQ(s.submit(second), 201);
     s.run(Millis(250));
@@ -101,10 +107,7 @@
 // carries an epoch that refuses it.
 TEST(Scripted, ClearingRefusesRepeatsOfTheCommandThatStarted) {
     Script s(1);
-    s.run(Millis(3000));
-    ASSERT_EQ(s.submit(job(1)), 201);
-    auto w = s.machine(0);
-    greet(s, w);
+    auto w = machine_for(s, job(1));
     ASSERT_EQ(s.directs().size(), 1u);
     const auto direct = s.directs()[0];
     w.report.tasks.push_back(running(direct.commands.orders.at(0)));
@@ -138,10 +141,7 @@
 // what waited for it as one entitled to.
 TEST(Scripted, NothingIsAnsweredAsTheLeaderAfterAStandStill) {
     Script s(1);
-    s.run(Millis(3000));
-    ASSERT_EQ(s.submit(job(1)), 201);
-    auto w = s.machine(0);
-    greet(s, w);
+    auto w = machine_for(s, job(1));
     ASSERT_EQ(s.checkin(w.next()).first, 200);
     s.stand_still(Millis(9000));
     EXPECT_EQ(s.checkin(w.next()).first, 503);
@@ -154,12 +154,9 @@
 // one was not executed proves nothing about the other.
 TEST(Scripted, AnUnsentCommandDoesNotUndoTheAnswerBeforeIt) {
     Script s(1);
-    s.run(Millis(3000));
     const auto first = job(1);
     const auto second = job(2);
-    ASSERT_EQ(s.submit(first), 201);
-    auto w = s.machine(0);
-    greet(s, w);
+    auto w = machine_for(s, first);
     ASSERT_EQ(s.directs().size(), 1u);
     ASSERT_EQ(s.submit(second), 201);
     s.run(Millis(250));
@@ -211,11 +208,8 @@
 // lacks is no proof.
 TEST(Scripted, ReportsOfAnOlderEpochProveNothing) {
     Script s(1);
-    s.run(Millis(3000));
     const auto j = job(1);
-    ASSERT_EQ(s.submit(j), 201);
-    auto w = s.machine(0);
-    greet(s, w);
+    auto w = machine_for(s, j);
     ASSERT_EQ(s.directs().size(), 1u);
     s.run(Millis(1600));  // given up: the leader raises the epoch
     ASSERT_EQ(s.directs().size(), 0u);
@@ -234,12 +228,9 @@
 // Reports arrive from a machine that no answer and no command reaches.
 TEST(Scripted, ADeafMachineGetsNoWorkAndIsReturned) {
     Script s(1);
-    s.run(Millis(3000));
     const auto early = job(1);
     const auto late = job(2);
-    ASSERT_EQ(s.submit(early), 201);
-    auto w = s.machine(0);
-    greet(s, w);
+    auto w = machine_for(s, early);
     ASSERT_EQ(s.directs().size(), 1u);
     const auto host = w.report.host;
     report_unheard(s, w, 6);
@@ -331,10 +322,7 @@
 // docs/incidents/0004: a new leader took idle machines that it had not heard from yet for stuck.
 TEST(Scripted, ANewLeaderWaitsForIdleMachinesToReport) {
     Script s(1);
-    s.run(Millis(3000));
-    ASSERT_EQ(s.submit(job(1)), 201);
-    auto w = s.machine(0);
-    greet(s, w);
+    auto w = machine_for(s, job(1));
     w.report.tasks.push_back(running(s.directs().at(0).commands.orders.at(0)));
     s.answer(s.directs()[0], 200, w.next());
     for (int i = 0; i < 45; ++i) {
@@ -356,11 +344,8 @@
 // back.
 TEST(Scripted, ALaterSessionProvesTheEarlierOnesTasksGone) {
     Script s(1);
-    s.run(Millis(3000));
     const auto j = job(1);
-    ASSERT_EQ(s.submit(j), 201);
-    auto w = s.machine(0);
-    greet(s, w);
+    auto w = machine_for(s, j);
     const auto a = s.directs().at(0).commands.orders.at(0);
     w.report.tasks.push_back(running(a));
     const auto earlier = w.next();
@@ -385,12 +370,9 @@
 // sent.
 TEST(Scripted, ANewSessionHasALeaseOfItsOwn) {
     Script s(1);
-    s.run(Millis(3000));
     const auto first = job(1);
     const auto second = job(2);
-    ASSERT_EQ(s.submit(first), 201);
-    auto w = s.machine(0);
-    greet(s, w);
+    auto w = machine_for(s, first);
     w.report.tasks.push_back(running(s.directs().at(0).commands.orders.at(0)));
     s.answer(s.directs()[0], 200, w.next());
     s.run(Millis(14700));
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -660,6 +660,11 @@
                 clock_.after(span, [w] { w->set_faulty(false); });
             }
     }
+    heal_at(until, i);
+}
+
+// The node's interruptions end, unless a later one goes on for longer.
+void World::heal_at(Instant until, std::size_t i) {
     clock_.at(until, [this, i] {
         auto& n = nodes_[i];
         if (clock_.now() < n.cut_until) return;
@@ -709,12 +714,7 @@
     auto& node = nodes_[i];
     node.from_state = node.from_workers = node.from_nodes = Cut::hold;
     node.cut_until = until;
-    clock_.at(until, [this, i] {
-        auto& n = nodes_[i];
-        if (clock_.now() < n.cut_until) return;
-        n.from_state = n.from_workers = n.from_nodes = Cut::none;
-        n.refused = false;
-    });
+    heal_at(until, i);
 }
 
 // ---- rules ----
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -135,6 +135,7 @@
 
     void plan_fault();
     void fault();
+    void heal_at(Instant until, std::size_t node);
     void plan_harsh();
     void harsh_fault();
     void cut_zone(const std::string& region, Millis span);
