Committed cancellations reach the leader from its peers, and bound how long it renews leases

Ruled out: the workers (halts are executed when sent), the order of the ledger's transactions (nothing was committed meanwhile).

Each node logs the cancellations it learns, numbered, before it tells anybody; greetings carry the log, and an answer vouches for it up to when it was asked. The leader halts on that word alone, and is greeted before the user is told. A leader that for cancel_s - lease_s - margins has neither read the ends nor has every peer's word answers workers 503. The watch of the ends waits a quarter of that.

Simulation.CancellationsThatTheLeaderCannotReadAreKept fails without it.

--- a/src/api/jobs.cpp
+++ b/src/api/jobs.cpp
@@ -32,12 +32,13 @@
 }  // namespace
 
 Jobs::Jobs(core::Port& port, state::Store& store, const core::Config& config,
-           const std::vector<wire::MachineType>& types, Display display)
+           const std::vector<wire::MachineType>& types, Display display, Announce announce)
     : port_(port),
       store_(store),
       config_(config),
       types_(types),
       display_(std::move(display)),
+      announce_(std::move(announce)),
       writes_(kWriteShare * config.state_write_rps),
       reads_(kReadShare * config.state_rps) {}
 
@@ -108,6 +109,19 @@
     port_.answer(ask.request, 200, wire::encode(end));
 }
 
+// Nobody is told of a cancellation that this node's log does not hold yet.
+void Jobs::end_found(Ask ask, const JobStatus& end) {
+    if (end.phase == JobPhase::done) {
+        remember(ask.id).end = end;
+        answer_end(ask, end);
+        return;
+    }
+    announce_(end.id, [this, ask = std::move(ask), end] {
+        remember(ask.id).end = end;
+        answer_end(ask, end);
+    });
+}
+
 void Jobs::answer_open(const Ask& ask) {
     const auto progress = display_(ask.id);
     const auto phase = progress.running > 0 ? JobPhase::running : JobPhase::pending;
@@ -250,8 +264,7 @@
                    const bool done = v["phase"].text() == wire::name_of(JobPhase::done);
                    const JobStatus end{ask.id, done ? JobPhase::done : JobPhase::withdrawn,
                                        done ? shards : 0, 0};
-                   remember(ask.id).end = end;
-                   answer_end(ask, end);
+                   end_found(std::move(ask), end);
                });
 }
 
@@ -335,8 +348,7 @@
                  [this, ask = std::move(ask)](const state::MultiResult& result) mutable {
                      if (result.outcome == Outcome::ok) {
                          const JobStatus end{ask.id, JobPhase::withdrawn, 0, 0};
-                         remember(ask.id).end = end;
-                         answer_end(ask, end);
+                         end_found(std::move(ask), end);
                      } else if (result.outcome == Outcome::conflict && ++ask.tries <= kMostTries) {
                          look_up(std::move(ask));
                      } else {
--- a/src/api/jobs.hpp
+++ b/src/api/jobs.hpp
@@ -27,9 +27,11 @@
   public:
     // What the leader's own ledger or a peer's word tells of an open job, for display.
     using Display = std::function<cluster::Progress(const JobId&)>;
+    // Hands a committed cancellation to whoever must know it before its user is told, and goes on.
+    using Announce = std::function<void(const JobId&, std::function<void()> then)>;
 
     Jobs(core::Port& port, state::Store& store, const core::Config& config,
-         const std::vector<wire::MachineType>& types, Display display);
+         const std::vector<wire::MachineType>& types, Display display, Announce announce);
 
     void submit(RequestId request, const std::string& body);
     void poll(RequestId request, const JobId& id);
@@ -58,6 +60,7 @@
     std::string refusal(const wire::JobSpec& job) const;
     Known& remember(const JobId& id);
     void answer_end(const Ask& ask, const wire::JobStatus& end);
+    void end_found(Ask ask, const wire::JobStatus& end);
     void answer_open(const Ask& ask);
     void unavailable(const Ask& ask);
     void enqueue(Ask ask);
@@ -75,6 +78,7 @@
     const core::Config& config_;
     const std::vector<wire::MachineType>& types_;
     Display display_;
+    Announce announce_;
     state::Budget writes_;
     state::Budget reads_;
 
--- a/src/cluster/peers.hpp
+++ b/src/cluster/peers.hpp
@@ -1,5 +1,7 @@
-// What the controllers tell each other: who leads, who reaches the state service, and how far the
-// leader's jobs are. All of it is advice: safety never rests on it.
+// What the controllers tell each other: who leads, who reaches the state service, how far the
+// leader's jobs are, and which cancellations are committed. All of it but the last is advice:
+// safety never rests on it. A committed end is true whoever says so, and what a peer answers
+// vouches for it up to the moment at which it was asked.
 #pragma once
 
 #include <cstdint>
@@ -9,6 +11,7 @@
 #include <vector>
 
 #include "base/types.hpp"
+#include "cluster/withdrawals.hpp"
 #include "core/config.hpp"
 #include "core/port.hpp"
 #include "wire/codec.hpp"
@@ -27,6 +30,7 @@
     Term term;
     bool leads = false;
     bool state_reachable = false;
+    WithdrawalsPart withdrawals;
     std::vector<Progress> progress;
 };
 std::string encode(const Hello& hello);
@@ -34,13 +38,19 @@
 
 class Peers {
   public:
-    Peers(core::Port& port, const core::Config& config, std::function<Hello()> own);
+    Peers(core::Port& port, const core::Config& config, std::function<Hello()> own,
+          std::function<void(const JobId&)> withdrawn);
 
     void tick();
     // Sends to all peers at the next tick, as something changed that they should know.
     void hurry() { next_ = Instant{}; }
-    // Takes a peer's word, and returns this node's own.
+    // Takes a peer's word. It may have been under way for long.
     void heard(const Hello& hello);
+    // Greets the peer now, and tells when it has answered or has not in time.
+    void greet(const NodeName& peer, std::function<void()> then);
+    // Up to when this node knows of every cancellation that a peer has told its users of, for one
+    // that has read all committed ends at the given moment; nothing while a peer does not vouch.
+    Instant vouched_until(Instant read) const;
 
     // The peer that leads as far as this node has heard lately, empty if none.
     NodeName leader() const;
@@ -57,13 +67,24 @@
         bool known = false;
         Hello hello;
         bool in_flight = false;
+        // Its log, as far as it is known here without a gap, since when, and when it was last
+        // asked.
+        std::uint64_t incarnation = 0;
+        std::uint64_t next = 0;
+        Instant complete_since{};
+        Instant vouched{};
     };
     bool lately(const Peer& peer) const;
-    void send(const core::KnownNode& node, const std::string& hello);
+    std::string own_word();
+    void send(const core::KnownNode& node, const std::string& hello, Millis timeout,
+              std::function<void()> then);
+    void answered(const NodeName& name, const core::HttpReply& reply, Instant asked);
+    void follow_log(Peer& peer, const WithdrawalsPart& log, Instant asked);
 
     core::Port& port_;
     const core::Config& config_;
     std::function<Hello()> own_;
+    std::function<void(const JobId&)> withdrawn_;
     std::unordered_map<NodeName, Peer> peers_;
     std::unordered_map<JobId, Progress> progress_;
     Term highest_term_;
--- a/src/core/config.hpp
+++ b/src/core/config.hpp
@@ -99,6 +99,17 @@
 
     Tuning tuning;
 
+    // For how long a leader that may have missed a cancellation may go on renewing leases: they
+    // must end, with clocks that drift, within `cancel` of the moment at which the user was told.
+    static constexpr Millis kLeastUnsure{2000};
+    Millis renew_unsure_for() const {
+        constexpr double drift = 1.002;
+        constexpr Millis margin{1000};
+        const Millis longest(static_cast<std::int64_t>(static_cast<double>(lease.count()) * drift));
+        // Settings that leave nothing rest on the peers' word, which comes every second.
+        return std::max(cancel - longest - margin, kLeastUnsure);
+    }
+
     // The team of that name, or null.
     const Team* find_team(const std::string& team) const {
         const auto it =
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -22,14 +22,23 @@
       port_(seed, level),
       store_(port_, config_),
       election_(port_, store_, config_),
-      peers_(port_, config_, [this] { return hello(); }),
+      withdrawals_(port_, config_),
+      peers_(
+          port_, config_, [this] { return hello(); }, [this](const JobId& id) { withdrawn(id); }),
       ledger_(port_, store_, election_, config_),
       workers_(port_, election_, ledger_, config_,
                [this](const workers::Finished& f) { fleet_.learn(f); }),
       fleet_(port_, election_, ledger_, workers_, config_),
       scheduler_(port_, ledger_, workers_, fleet_, config_),
-      jobs_(port_, store_, config_, fleet_.types(),
-            [this](const JobId& id) { return progress(id); }) {}
+      jobs_(
+          port_, store_, config_, fleet_.types(), [this](const JobId& id) { return progress(id); },
+          [this](const JobId& id, std::function<void()> then) { announce(id, std::move(then)); }),
+      unsure_limit_(config_.renew_unsure_for()) {
+    if (unsure_limit_ <= Config::kLeastUnsure) {
+        port_.log(LogLevel::error, "event=cancel_short cancel_s={} lease_s={}",
+                  to_seconds(config_.cancel), to_seconds(config_.lease));
+    }
+}
 
 Effects Core::apply(std::vector<Command>&& batch, Instant now, std::int64_t wall_ms) {
     port_.set_time(now, wall_ms);
@@ -62,6 +71,7 @@
     if (upkeep && election_.is_leader()) step_back_if_isolated();
     if (upkeep && leads()) resign_if_deaf();
     if (leads()) {
+        apply_withdrawals();
         fleet_.tick();
         schedule();
         workers_.tick();
@@ -167,7 +177,12 @@
         const auto doc = wire::Document::parse(request.body);
         if (!doc) throw wire::DecodeError("not MessagePack");
         if (leads()) {
-            workers_.checkin(request.id, wire::decode_report(doc->root()));
+            const auto report = wire::decode_report(doc->root());
+            if (may_renew()) {
+                workers_.checkin(request.id, report);
+            } else {
+                port_.answer(request.id, 503, wire::encode_error("cancellations not known"), 1);
+            }
             return;
         }
         const auto leader = known_leader();
@@ -252,6 +267,40 @@
     election_.step_back("it is isolated");
 }
 
+// ---- cancellations ----
+
+// docs/design.md, 'Cancellation': from the moment a user may have been told of a cancellation that
+// this leader does not know, it renews leases for so long only that they end within `cancel_s`.
+// What it knows is what it has read from the state service, or what every peer has vouched for.
+bool Core::may_renew() {
+    const auto read = ledger_.ends_read_at();
+    const auto known = std::max(read, peers_.vouched_until(read));
+    if (port_.now() - known <= unsure_limit_) return true;
+    port_.log(LogLevel::error, "event=unsure term={} since_s={:.1f}", election_.term().get(),
+              to_seconds(port_.now() - known));
+    return false;
+}
+
+// A committed end is true whoever says so: the leader halts the tasks on that word alone.
+void Core::withdrawn(const JobId& id) {
+    if (withdrawals_.add(id) && leads()) ledger_.withdraw(id, port_.wall_ms());
+}
+
+// The leader is to know before the user does, so that nothing starts after it; if it does not
+// answer, its power to renew is bounded all the same.
+void Core::announce(const JobId& id, std::function<void()> then) {
+    withdrawn(id);
+    const auto leader = leads() ? NodeName() : peers_.leader();
+    leader.get().empty() ? then() : peers_.greet(leader, std::move(then));
+}
+
+// What was heard before the ledger was there.
+void Core::apply_withdrawals() {
+    if (withdrawals_applied_ == generation_) return;
+    withdrawals_applied_ = generation_;
+    for (const auto& id : withdrawals_.kept().jobs) ledger_.withdraw(id, port_.wall_ms());
+}
+
 void Core::handle_ready(const Request& request) {
     ready() ? port_.answer(request.id, 200, wire::Writer().map(0).take())
             : port_.answer(request.id, 503, wire::encode_error("not ready"), 1);
@@ -272,6 +321,7 @@
     h.leads = leads();
     h.term = election_.is_leader() ? election_.term() : peers_.highest_term();
     h.state_reachable = store_.reachable();
+    h.withdrawals = withdrawals_.kept();
     if (!h.leads) return h;
     for (const auto& [id, job] : ledger_.jobs()) {
         if (job.state == JobState::open && (job.done > 0 || job.running > 0)) {
--- a/src/core/core.hpp
+++ b/src/core/core.hpp
@@ -10,6 +10,7 @@
 #include "api/jobs.hpp"
 #include "cluster/election.hpp"
 #include "cluster/peers.hpp"
+#include "cluster/withdrawals.hpp"
 #include "core/config.hpp"
 #include "core/ledger.hpp"
 #include "core/port.hpp"
@@ -62,6 +63,10 @@
     void relay(const Request& request, const NodeName& leader);
     void resign_if_deaf();
     void step_back_if_isolated();
+    bool may_renew();
+    void withdrawn(const JobId& id);
+    void announce(const JobId& id, std::function<void()> then);
+    void apply_withdrawals();
     void follow_leadership();
     void schedule();
     cluster::Hello hello();
@@ -71,13 +76,16 @@
     Port port_;
     state::Store store_;
     cluster::Election election_;
+    cluster::Withdrawals withdrawals_;
     cluster::Peers peers_;
     Ledger ledger_;
     workers::Workers workers_;
     fleet::Fleet fleet_;
     scheduler::Scheduler scheduler_;
     api::Jobs jobs_;
+    const Millis unsure_limit_;
     std::uint64_t generation_ = 0;
+    std::uint64_t withdrawals_applied_ = 0;  // to the ledger of that generation
     bool led_ = false;
     Instant last_apply_{};
     Instant next_schedule_{};
--- a/src/core/ledger.hpp
+++ b/src/core/ledger.hpp
@@ -188,6 +188,8 @@
 
     void add_job(wire::JobSpec spec, std::int64_t submitted_ms);
     void withdraw(const JobId& id, std::int64_t at_ms);
+    // Every end that was committed before is known.
+    Instant ends_read_at() const { return ends_read_at_; }
     Job* find_job(const JobId& id);
     std::map<JobId, Job>& jobs() { return jobs_; }
 
@@ -293,6 +295,7 @@
     bool loaded_ = false;
     std::uint64_t generation_ = 0;
     KeyRev load_rev_;
+    Instant ends_read_at_{};
     std::uint64_t next_serial_ = 0;
     std::uint64_t next_attempt_ = 0;
     std::map<JobId, Job> jobs_;
--- a/src/core/ledger_load.cpp
+++ b/src/core/ledger_load.cpp
@@ -10,6 +10,7 @@
 
 namespace {
 constexpr Millis kWatchWait{8000};
+constexpr Millis kLeastWait{500};
 constexpr Millis kWatchRetry{300};
 constexpr Millis kWatchPause{20};
 constexpr Millis kStandAside{20000};
@@ -19,6 +20,7 @@
     clear();
     generation_ = election_.generation();
     next_attempt_ = election_.term().get() << kAttemptBits;
+    ends_read_at_ = port_.now();
     load_next(0, generation_);
 }
 
@@ -210,8 +212,13 @@
 }
 
 void Ledger::watch(const char* prefix, KeyRev from, std::uint64_t generation) {
-    store_.watch(prefix, from, kWatchWait,
-                 [this, prefix, from, generation](const state::WatchResult& result) {
+    // What is known of the ends must never be old (Core::may_renew).
+    const bool ends = prefix == std::string_view(kEnds);
+    const auto wait =
+        ends ? std::clamp(config_.renew_unsure_for() / 4, kLeastWait, kWatchWait) : kWatchWait;
+    store_.watch(prefix, from, wait,
+                 [this, prefix, from, generation, ends,
+                  asked = port_.now()](const state::WatchResult& result) {
                      if (!current(generation)) return;
                      if (result.kind == state::WatchResult::Kind::too_old) {
                          election_.renew_term();
@@ -219,6 +226,7 @@
                      }
                      const bool failed = result.kind == state::WatchResult::Kind::failed;
                      for (const auto& change : result.changes) apply_change(change);
+                     if (ends && !failed) ends_read_at_ = std::max(ends_read_at_, asked);
                      // A short pause gathers changes that come together into one answer.
                      port_.after(failed ? kWatchRetry : kWatchPause,
                                  [this, prefix, generation, next = failed ? from : result.rev] {
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -215,9 +215,12 @@
         c.service != Service::peer && std::uniform_real_distribution<>(0, 1)(rng_) < lost_answers_;
     const auto deliver = [this, i, c, done, lose] {
         repeat_later(i, c);
-        serve(i, c, [this, i, service = c.service, done, lose](const HttpReply& reply) {
+        const bool watch = c.target.starts_with("/watch");
+        serve(i, c, [this, i, service = c.service, done, lose, watch](const HttpReply& reply) {
             if (lose || cut_for(nodes_[i], service) != Cut::none) return;
             const auto delay = latency() + (service == Service::state ? state_delay() : Millis(0));
+            // Open watches of a node that is refused alone wait.
+            if (watch && nodes_[i].refused) return;
             clock_.after(delay, [done, reply] { done(reply); });
         });
     };
@@ -514,21 +517,23 @@
 
 void World::abort(User& user) {
     if (user.final) return;
-    if (user.accepted) {
-        user.abort_asked = true;
-        request(rng_() % nodes_.size(), Plane::front, "POST",
-                "/v1/jobs/" + user.spec.id.get() + "/abort", {}, [this, &user](const Answer& a) {
-                    if (a.status == 404) broken("forgotten", user.spec.id.get() + " (abort)");
-                    if (a.status != 200) return;
-                    told(user, a);
-                    if (options_.harsh) {
-                        repeat_user(user, "/v1/jobs/" + user.spec.id.get() + "/abort", {});
-                    }
-                });
-    }
+    if (user.accepted) abort_at(user, rng_() % nodes_.size());
     clock_.after(Millis(1500), [this, &user] { abort(user); });
 }
 
+void World::abort_at(User& user, std::size_t node) {
+    user.abort_asked = true;
+    request(node, Plane::front, "POST", "/v1/jobs/" + user.spec.id.get() + "/abort", {},
+            [this, &user](const Answer& a) {
+                if (a.status == 404) broken("forgotten", user.spec.id.get() + " (abort)");
+                if (a.status != 200) return;
+                told(user, a);
+                if (options_.harsh) {
+                    repeat_user(user, "/v1/jobs/" + user.spec.id.get() + "/abort", {});
+                }
+            });
+}
+
 void World::told(User& user, const Answer& a) {
     user.last_answer = clock_.now();
     const auto doc = wire::Document::parse(a.body);
@@ -859,6 +864,38 @@
     clock_.after(span, [this, i] { nodes_[i].from_state = nodes_[i].from_nodes = Cut::none; });
 }
 
+void World::refuse_leader(Millis span) {
+    const auto i = leader();
+    if (i == nodes_.size()) return;
+    nodes_[i].refused = true;
+    clock_.after(span, [this, i] { nodes_[i].refused = false; });
+}
+
+void World::state_outage(Millis span) {
+    state_.set_outage(true);
+    clock_.after(span, [this] { state_.set_outage(false); });
+}
+
+void World::cancel_running(std::size_t jobs) {
+    const auto leads = leader();
+    for (auto& [id, user] : users_) {
+        if (jobs == 0) return;
+        if (user.final || !user.accepted || user.abort_asked || user.began == Instant::max()) {
+            continue;
+        }
+        --jobs;
+        clock_.after(Millis(static_cast<std::int64_t>(rng_() % 200)),
+                     [this, &user, leads] { abort_at(user, (leads + 1) % nodes_.size()); });
+        clock_.after(Millis(1500), [this, &user] { abort(user); });
+    }
+}
+
+std::size_t World::cancelled_told() const {
+    return static_cast<std::size_t>(std::count_if(users_.begin(), users_.end(), [](const auto& u) {
+        return u.second.final == JobPhase::withdrawn;
+    }));
+}
+
 std::size_t World::killed_by_lease() const {
     std::size_t sum = 0;
     for (const auto& [host, worker] : workers_) sum += worker->killed_by_lease();
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -49,6 +49,13 @@
     void crash_leader(Millis down = Millis(4000));
     // The leader loses the state service and the other controllers, not its workers.
     void isolate_leader(Millis span);
+    // The state service refuses the leader alone.
+    void refuse_leader(Millis span);
+    void state_outage(Millis span);
+    // The users of that many jobs under way call them off within a fifth of a second, at nodes that
+    // do not lead.
+    void cancel_running(std::size_t jobs);
+    std::size_t cancelled_told() const;
     // The node that leads, or the number of nodes if none does.
     std::size_t leader() const;
     bool leads(std::size_t node) const { return nodes_[node].core && nodes_[node].core->leads(); }
@@ -129,6 +136,7 @@
     void submit(User& user);
     void poll(User& user);
     void abort(User& user);
+    void abort_at(User& user, std::size_t node);
     void told(User& user, const core::Answer& answer);
     void repeat_user(User& user, const std::string& target, const std::string& body);
     void ask_unknown();
--- a/tests/simulation_test.cpp
+++ b/tests/simulation_test.cpp
@@ -77,6 +77,30 @@
     EXPECT_EQ(world.returned_with_tasks(), 0u);
 }
 
+// The state service refuses the leader alone, others confirm cancellations, and then it is down for
+// all for longer than `cancel_s`: the leader's workers go on reporting to it all the while.
+TEST(Simulation, CancellationsThatTheLeaderCannotReadAreKept) {
+    Options options;
+    options.fault_every_s = 0;
+    options.task_s = 150;
+    options.troubles_s = 200;
+    World world(options);
+    for (int round = 0; round < 2; ++round) {
+        world.run_for(Millis(60000));
+        const auto told = world.cancelled_told();
+        world.refuse_leader(Millis(14000));
+        world.run_for(Millis(300));
+        world.cancel_running(6);
+        world.run_for(Millis(1700));
+        world.state_outage(Millis(60000));
+        world.run_for(Millis(62000));
+        ASSERT_TRUE(world.broken_rules().empty()) << join(world.broken_rules());
+        EXPECT_GT(world.cancelled_told(), told);
+    }
+    // The peers vouch for what they told: the outage costs no running task.
+    EXPECT_EQ(world.killed_by_lease(), 0u);
+}
+
 // A large job of lower priority begins within four minutes although small urgent ones would take
 // every core all the time: waiting work ages.
 TEST(Simulation, LargeJobBeginsUnderAFlowOfUrgentOnes) {
