--- a/src/core/ledger.hpp
+++ b/src/core/ledger.hpp
@@ -163,6 +163,7 @@
     Instant idle_since{};
     std::set<std::string> images;  // seen running here; for ties only
     std::uint64_t kept_for = 0;    // serial of the aged job that this machine is kept for
+    Instant kept_since{};
 };
 
 // A rental: its claim, and once that is answered the machines it brought that are not gone.
--- a/src/fleet/sizing.cpp
+++ b/src/fleet/sizing.cpp
@@ -21,6 +21,17 @@
     return 0;
 }
 
+// Whether some of what waits could run on such a machine.
+bool of_use(const SizingInput& in, const Market& m) {
+    const auto type = std::find_if(in.types.begin(), in.types.end(),
+                                   [&](const auto& t) { return t.name == m.shape; });
+    return type != in.types.end() &&
+           std::any_of(in.demand.begin(), in.demand.end(), [&](const Demand& d) {
+               return (d.spot_allowed || !m.spot) && (d.region.empty() || d.region == m.region) &&
+                      wire::can_hold(*type, d.need, d.shapes);
+           });
+}
+
 double work(const Demand& d) { return d.tasks * d.need.cores * d.seconds; }
 
 struct Counts {
@@ -130,7 +141,6 @@
         add_rent(out, counts, market, t->cores);
         ++rented;
     }
-    if (rented > 0) return out;
 
     std::vector<std::size_t> idle;
     for (std::size_t i = 0; i < in.machines.size(); ++i) {
@@ -144,8 +154,13 @@
         return std::pair(rate(a), in.machines[a].idle_s) >
                std::pair(rate(b), in.machines[b].idle_s);
     });
+    // What waits is no reason to keep a machine that none of it can use.
+    const double for_load = std::max(in.load_cores * in.headroom, in.placed_cores);
     for (const auto i : idle) {
-        if (counts.cores - in.machines[i].cores < out.target_cores) continue;
+        const bool useful = of_use(in, in.machines[i].market);
+        if (rented > 0 && useful) continue;
+        const double least = useful ? out.target_cores : for_load;
+        if (counts.cores - in.machines[i].cores < least) continue;
         counts.cores -= in.machines[i].cores;
         out.give_back.push_back(i);
     }
--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -21,6 +21,10 @@
 constexpr double kStop_s = 1.5;  // for a victim to stop and its machine to report it
 // A job that has waited so long without a task begun is given its first one before all others.
 constexpr Millis kAged{90000};
+// Others that would fit meanwhile must not wait for 90 s: a machine is kept for so long at a time,
+// and then open to them for a while.
+constexpr Millis kKeptMost{65000};
+constexpr Millis kOpenAfter{10000};
 constexpr std::size_t kKeptShare = 10;  // one machine in so many may be kept for aged jobs
 
 }  // namespace
@@ -59,11 +63,13 @@
     std::set<std::uint64_t> aged;
     double least_cores = std::numeric_limits<double>::max();
     for (const auto& e : entries) {
-        if (e.aged) aged.insert(e.job->serial);
+        // For a job whose team is at its limit nothing is kept: others could use it meanwhile.
+        if (e.aged && quota_left(*e.job) > 0) aged.insert(e.job->serial);
         least_cores = std::min(least_cores, e.job->spec.cores);
     }
     for (auto& [host, m] : ledger_.machines()) {
-        if (m.kept_for != 0 && !aged.contains(m.kept_for)) m.kept_for = 0;
+        const bool over = port_.now() - m.kept_since > kKeptMost;
+        if (m.kept_for != 0 && (over || !aged.contains(m.kept_for))) m.kept_for = 0;
         // Most machines are full most of the time.
         const double cores = m.total.cores - m.used.cores + m.leaving.cores;
         if (cores + 1e-6 >= least_cores && workers_.usable(m)) add_room(m);
@@ -266,6 +272,8 @@
             ++kept;
             continue;
         }
+        if (port_.now() - m.kept_since < kKeptMost + kOpenAfter && m.kept_since != Instant{})
+            continue;
         if (!m.total.holds(job.need()) || !workers_.usable(m) || !allowed(job, m)) continue;
         // The share of the machine that must still end, weighed by how soon that begins.
         const double until = earliest_s(m) * (1 + m.used.cores / std::max(m.total.cores, 1.0));
@@ -273,7 +281,9 @@
         best = &m;
         best_s = until;
     }
-    if (best && kept * kKeptShare <= ledger_.machines().size()) best->kept_for = job.serial;
+    if (!best || kept * kKeptShare > ledger_.machines().size()) return;
+    best->kept_for = job.serial;
+    best->kept_since = port_.now();
 }
 
 // The preemption list is kept in order of start, the latest first: the first that fits has the
--- /dev/null
+++ b/tests/sim/troubles.cpp
@@ -0,0 +1,308 @@
+// Troubles that a scenario brings about, and what is asked of the service once they are over.
+#include <algorithm>
+
+#include "sim/world.hpp"
+
+namespace dunebridge::sim {
+
+using core::Answer;
+using core::HttpCall;
+using core::Plane;
+
+// ---- the state service ----
+
+void World::refuse(std::size_t i, Millis span) {
+    if (i >= nodes_.size()) return;
+    auto& node = nodes_[i];
+    node.refused = true;
+    node.cut_until = std::max(node.cut_until, clock_.now() + span);
+    heal_at(node.cut_until, i);
+}
+
+void World::state_outage(Millis span) {
+    state_.set_outage(true);
+    clock_.after(span, [this] { state_.set_outage(false); });
+}
+
+bool World::strikes(const Chance& chance) {
+    return clock_.now() < chance.until &&
+           std::uniform_real_distribution<>(0, 1)(harsh_rng_) < chance.share;
+}
+
+void World::serve_late(const HttpCall& c) {
+    clock_.after(Millis(2000 + static_cast<std::int64_t>(harsh_rng_() % 10000)), [this, c] {
+        state_.handle(c.method, c.target, c.body, [](const core::HttpReply&) {});
+    });
+}
+
+// ---- users ----
+
+void World::cancel_running(std::size_t jobs) {
+    const auto leads = leader();
+    for (auto& [id, user] : users_) {
+        if (jobs == 0) return;
+        if (user.final || !user.accepted || user.abort_asked || user.began == Instant::max()) {
+            continue;
+        }
+        --jobs;
+        clock_.after(Millis(static_cast<std::int64_t>(harsh_rng_() % 200)),
+                     [this, &user, leads] { abort_at(user, (leads + 1) % nodes_.size()); });
+        clock_.after(Millis(1500), [this, &user] { abort(user); });
+    }
+}
+
+std::size_t World::cancelled_told() const {
+    return static_cast<std::size_t>(std::count_if(users_.begin(), users_.end(), [](const auto& u) {
+        return u.second.final == wire::JobPhase::withdrawn;
+    }));
+}
+
+void World::meet_the_end(User& user) {
+    if (user.final) return;
+    const auto any = [this] { return harsh_rng_() % nodes_.size(); };
+    clock_.after(Millis(static_cast<std::int64_t>(harsh_rng_() % 60)),
+                 [this, &user, any] { abort_at(user, any()); });
+    clock_.after(Millis(1500), [this, &user] { abort(user); });
+    wire::Writer w;
+    wire::encode_job(w, user.spec);
+    const auto ask = [this, &user, any](const std::string& method, const std::string& target,
+                                        const std::string& body) {
+        request(any(), Plane::front, method, target, body,
+                [this, &user, asked = clock_.now()](const Answer& a) {
+                    if (a.status == 404 || a.status == 400 || a.status == 422) {
+                        broken("forgotten", user.spec.id.get() + " (at its end)");
+                    }
+                    if (a.status == 200 && asked >= user.final_told) told(user, a);
+                });
+    };
+    ask("GET", "/v1/jobs/" + user.spec.id.get(), {});
+    ask("POST", "/v1/jobs", w.take());
+}
+
+void World::odd_requests(Millis span) {
+    for (Millis at{0}; at < span; at += Millis(700)) {
+        clock_.after(at, [this] { odd_request(); });
+    }
+}
+
+void World::odd_request() {
+    const auto node = harsh_rng_() % nodes_.size();
+    auto& user =
+        std::next(users_.begin(), static_cast<std::ptrdiff_t>(harsh_rng_() % users_.size()))
+            ->second;
+    const auto expect = [this](int status, const char* what) {
+        return [this, status, what](const Answer& a) {
+            if (a.status != status && a.status != 503) {
+                broken("odd_request", fmt::format("{}: {}", what, a.status));
+            }
+        };
+    };
+    const auto id = fmt::format("req-8{:08}", ++odd_requests_);
+    auto spec = user.spec;
+    spec.id = JobId(id);
+    const auto post = [&](const std::string& body, std::function<void(const Answer&)> then) {
+        request(node, Plane::front, "POST", "/v1/jobs", body, std::move(then));
+    };
+    wire::Writer w;
+    switch (harsh_rng_() % 4) {
+        case 0:  // lacks every field but its name
+            post(w.map(1).text("name_id").text(id).take(), expect(400, "lacks fields"));
+            break;
+        case 1:
+            spec.cores = 500;
+            wire::encode_job(w, spec);
+            post(w.take(), expect(422, "fits no machine"));
+            break;
+        case 2:  // a known job, whatever the repeat carries
+            if (user.accepted) {
+                post(w.map(1).text("name_id").text(user.spec.id.get()).take(),
+                     expect(200, "known"));
+            }
+            break;
+        default:
+            if (user.final != wire::JobPhase::done) break;
+            request(node, Plane::front, "POST", "/v1/jobs/" + user.spec.id.get() + "/abort", {},
+                    [this, &user, late = expect(200, "cancels what is done")](const Answer& a) {
+                        late(a);
+                        if (a.status == 200) told(user, a);
+                    });
+    }
+}
+
+// ---- machines ----
+
+World::Cut World::worker_cut(const HostName& host) const {
+    const auto it = worker_cuts_.find(host);
+    return it == worker_cuts_.end() || clock_.now() >= it->second.second ? Cut::none
+                                                                         : it->second.first;
+}
+
+void World::machines_unreached(Unreached how, unsigned percent, Millis span) {
+    for (auto& [host, w] : workers_) {
+        if (w->gone() || harsh_rng_() % 100 >= percent) continue;
+        const auto until = clock_.now() + span;
+        switch (how) {
+            case Unreached::cut:
+                worker_cuts_[host] = {Cut::drop, until};
+                break;
+            case Unreached::held:
+                worker_cuts_[host] = {Cut::hold, until};
+                break;
+            case Unreached::deaf:
+                worker_cuts_[host] = {Cut::deaf, until};
+                break;
+            case Unreached::mute:
+                worker_cuts_[host] = {Cut::mute, until};
+                break;
+            case Unreached::hung:
+                w->hang(span);
+        }
+    }
+}
+
+void World::machines_die(unsigned percent) {
+    for (auto& [host, w] : workers_) {
+        if (w->gone() || harsh_rng_() % 100 >= percent) continue;
+        harsh_rng_() % 2 ? cloud_.take(host) : cloud_.fail(host);
+    }
+}
+
+// ---- nodes ----
+
+void World::crash_all(Millis down) {
+    for (std::size_t i = 0; i < nodes_.size(); ++i) crash(i, down);
+}
+
+void World::cut_zone(const std::string& region, std::size_t i, Millis span) {
+    const auto until = clock_.now() + span;
+    for (auto& [host, w] : workers_) {
+        if (!w->gone() && w->region() == region) worker_cuts_[host] = {Cut::hold, until};
+    }
+    cut_node(i, {true, true, true}, true, span);
+}
+
+void World::cut_node(std::size_t i, Lost lost, bool held, Millis span) {
+    if (i >= nodes_.size()) return;
+    auto& node = nodes_[i];
+    const auto cut = held ? Cut::hold : Cut::drop;
+    if (lost.state) node.from_state = cut;
+    if (lost.nodes) node.from_nodes = cut;
+    if (lost.workers) node.from_workers = cut;
+    node.cut_until = clock_.now() + span;
+    heal_at(node.cut_until, i);
+}
+
+void World::any_trouble() {
+    const Millis span(1000 + static_cast<std::int64_t>(harsh_rng_() % 30000));
+    const auto percent = static_cast<unsigned>(20 + harsh_rng_() % 60);
+    const auto any = harsh_rng_() % nodes_.size();
+    const auto i = harsh_rng_() % 3 != 0 && leader() < nodes_.size() ? leader() : any;
+    const bool held = harsh_rng_() % 2 == 0;
+    switch (harsh_rng_() % 20) {
+        case 0:
+            return refuse(i, span);
+        case 1:
+            return state_outage(span * 2);
+        case 2:
+            return state_slow(span);
+        case 3:
+            return hold_commands(span);
+        case 4:
+            return late_writes(0.3, span);
+        case 5:
+            return late_reports(0.5, span);
+        case 6:
+            return cancel_at_end(0.5, span);
+        case 7:
+            return odd_requests(span);
+        case 8:
+        case 9:
+            return cancel_running(1 + harsh_rng_() % 6);
+        case 10:
+            return machines_unreached(Unreached::cut, percent, span);
+        case 11:
+            return machines_unreached(Unreached::held, percent, span);
+        case 12:
+            return machines_unreached(Unreached::deaf, percent, span);
+        case 13:
+            return machines_unreached(Unreached::mute, percent, span);
+        case 14:
+            return machines_unreached(Unreached::hung, percent, span);
+        case 15:
+            return crash_node(i, Millis(50 + static_cast<std::int64_t>(harsh_rng_() % 4000)));
+        case 16:
+            return crash_all(Millis(50 + static_cast<std::int64_t>(harsh_rng_() % 20000)));
+        case 17:
+            return cut_node(i, {true, true, false}, held, span);
+        case 18:
+            return cut_node(i, {harsh_rng_() % 2 == 0, false, harsh_rng_() % 2 == 0}, held, span);
+        default:
+            return cut_zone(harsh_rng_() % 2 ? "a" : "b", any, span);
+    }
+}
+
+// ---- once they are over ----
+
+World::Usage World::usage() {
+    Usage u;
+    for (auto& [host, w] : workers_) {
+        for (const auto& task : w->present()) {
+            const auto& user = users_.at(task.job);
+            u.teams[user.spec.owner] += user.spec.cores;
+            u.hosts[host] += user.spec.cores;
+            ++u.zones[task.job][w->region()];
+            if (!user.completed.contains(task.index)) ++u.begun[task.job];
+        }
+    }
+    return u;
+}
+
+// Whether a waiting task of the job fits a machine that is there, reached and has room, with its
+// team under its limit.
+bool World::could_start(const User& user, Usage& usage) {
+    const auto& spec = user.spec;
+    auto& zones = usage.zones[spec.id];
+    if (user.completed.size() + usage.begun[spec.id] >= spec.shards) return false;
+    for (const auto& team : config_.teams) {
+        if (team.name != spec.owner || team.cpus_max <= 0) continue;
+        if (usage.teams[team.name] + spec.cores > team.cpus_max + 1e-6) return false;
+    }
+    return std::any_of(workers_.begin(), workers_.end(), [&](const auto& row) {
+        auto& w = *row.second;
+        if (w.gone() || w.hanging() || worker_cut(row.first) != Cut::none) return false;
+        if (w.spot() && !spec.reclaimable) return false;
+        if (spec.region && *spec.region != w.region()) return false;
+        if (spec.shapes &&
+            std::find(spec.shapes->begin(), spec.shapes->end(), w.shape()) == spec.shapes->end()) {
+            return false;
+        }
+        if (spec.together && !zones.empty() && !zones.contains(w.region())) return false;
+        if (spec.apart && zones.contains(w.region()) &&
+            zones[w.region()] + 1 > (spec.shards + 1) / 2) {
+            return false;
+        }
+        return usage.hosts[row.first] + spec.cores <= w.cores() + 1e-6;
+    });
+}
+
+// No job is left waiting for 90 s while a machine that fits has room and its team is under its
+// limit.
+void World::check_waiting() {
+    constexpr Millis most{90000};
+    if (clock_.now() < std::max(next_waiting_check_, troubles_end_)) return;
+    next_waiting_check_ = clock_.now() + Millis(options_.fleet ? 10000 : 1000);
+    auto now = usage();
+    for (auto& [id, user] : users_) {
+        const bool waits =
+            user.accepted && !user.abort_asked && !user.final && could_start(user, now);
+        if (!waits) {
+            user.could_start_since = Instant::max();
+        } else if (user.could_start_since == Instant::max()) {
+            user.could_start_since = clock_.now();
+        } else if (clock_.now() - user.could_start_since > most) {
+            broken("left_waiting", id.get());
+        }
+    }
+}
+
+}  // namespace dunebridge::sim
--- a/tests/sim/worker_stand_in.hpp
+++ b/tests/sim/worker_stand_in.hpp
@@ -61,6 +61,7 @@
     const std::string& region() const { return region_; }
     const std::string& shape() const { return type_.name; }
     bool spot() const { return spot_; }
+    double cores() const { return type_.cores; }
     std::string endpoint() const { return "worker:" + host_.get(); }
     // Tasks that are on the machine: neither exited nor killed. Ends leases that are over.
     std::set<TaskRef> present();
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -186,10 +186,8 @@
 
 // The worker cannot be connected to now, as it is cut off; or, while answers get lost, by chance.
 bool World::unconnected(const std::string& endpoint) {
-    const auto it = worker_cuts_.find(HostName(endpoint.substr(std::string("worker:").size())));
-    const bool cut = it != worker_cuts_.end() && it->second.first != Cut::none &&
-                     clock_.now() < it->second.second;
-    return cut || (lost_answers_ > 0 && rng_() % 4 == 0) ||
+    const auto how = worker_cut(HostName(endpoint.substr(std::string("worker:").size())));
+    return (how != Cut::none && how != Cut::mute) || (lost_answers_ > 0 && rng_() % 4 == 0) ||
            (clock_.now() < commands_held_until_ && rng_() % 2 == 0);
 }
 
@@ -251,6 +249,10 @@
 
 void World::serve(std::size_t i, const HttpCall& c, StateStandIn::Reply reply) {
     if (c.service == Service::state) {
+        if (c.target == "/multi" && strikes(late_writes_)) {
+            serve_late(c);
+            return;
+        }
         if (nodes_[i].refused && !c.target.starts_with("/watch")) {
             reply({503, {}});
         } else if (!nodes_[i].refused) {
@@ -268,8 +270,9 @@
         const auto it = workers_.find(HostName(c.endpoint.substr(std::string("worker:").size())));
         if (it == workers_.end() || it->second->gone()) return;
         auto& worker = *it->second;
-        const auto& [cut, until] = worker_cuts_[worker.host()];
-        if (cut != Cut::none && clock_.now() < until) {
+        const auto cut = worker_cut(worker.host());
+        if (cut != Cut::none && cut != Cut::mute) {
+            const auto until = worker_cuts_[worker.host()].second;
             if (cut == Cut::hold) clock_.at(until, [this, i, c, reply] { serve(i, c, reply); });
             return;
         }
@@ -306,9 +309,7 @@
         if (nodes_[i].from_workers != Cut::none) return;
         request(i, Plane::front, "POST", "/checkin", body,
                 [this, host, i, serial](const Answer& a) {
-                    const auto& [cut, until] = worker_cuts_[host];
-                    if (nodes_[i].from_workers != Cut::none ||
-                        (cut != Cut::none && clock_.now() < until)) {
+                    if (nodes_[i].from_workers != Cut::none || worker_cut(host) != Cut::none) {
                         return;
                     }
                     const HttpReply reply{a.status, a.body};
@@ -319,9 +320,9 @@
                 });
     };
     copy_later(i, body);
-    const auto& [cut, until] = worker_cuts_[host];
-    if (cut != Cut::none && cut != Cut::deaf && clock_.now() < until) {
-        if (cut == Cut::hold) clock_.at(until + latency(), deliver);
+    const auto cut = worker_cut(host);
+    if (cut != Cut::none && cut != Cut::deaf) {
+        if (cut == Cut::hold) clock_.at(worker_cuts_[host].second + latency(), deliver);
         return;
     }
     clock_.after(latency(), deliver);
@@ -330,7 +331,8 @@
 // Now and then a copy of a report comes late, by seconds to well over a lease, at any node; the
 // machine may be gone by then, and the leader another. Nobody reads the answer.
 void World::copy_later(std::size_t i, const std::string& body) {
-    if (options_.fault_every_s <= 0 || rng_() % 40 != 0) return;
+    const bool drawn = options_.fault_every_s > 0 && rng_() % 40 == 0;
+    if (!drawn && !strikes(late_reports_)) return;
     const auto span = static_cast<std::uint64_t>(config_.lease.count()) * 3;
     const auto to = rng_() % 2 ? i : rng_() % nodes_.size();
     clock_.after(Millis(500 + static_cast<std::int64_t>(rng_() % span)), [this, to, body] {
@@ -351,7 +353,9 @@
 }
 
 void World::task_completed(const TaskRef& task) {
-    users_.at(task.job).completed.insert(task.index);
+    auto& user = users_.at(task.job);
+    user.completed.insert(task.index);
+    if (user.completed.size() == user.spec.shards && strikes(cancel_at_end_)) meet_the_end(user);
 }
 
 void World::task_started(const HostName& host, const TaskRef& task) {
@@ -384,6 +388,7 @@
     if (spec.apart && zones[worker.region()] + 1 > (spec.shards + 1) / 2) {
         broken("wrong_place", task.str() + " too many in one zone");
     }
+    if (clock_.now() > user.withdrawn_told) ++starts_after_cancellation_;
     if (clock_.now() - user.withdrawn_told > config_.cancel) {
         broken("ran_cancelled", task.str() + " started");
     }
@@ -696,7 +701,7 @@
             nodes_[i].still_until = clock_.now() + span;
             break;
         case 1:
-            cut_zone(harsh_rng_() % 2 ? "a" : "b", span);
+            cut_zone(harsh_rng_() % 2 ? "a" : "b", harsh_rng_() % nodes_.size(), span);
             break;
         case 2:
             for (auto& [host, w] : workers_) {
@@ -709,19 +714,6 @@
     }
 }
 
-// A zone cut off from everything, a node in it included; what was sent meanwhile is held.
-void World::cut_zone(const std::string& region, Millis span) {
-    const auto until = clock_.now() + span;
-    for (auto& [host, w] : workers_) {
-        if (!w->gone() && w->region() == region) worker_cuts_[host] = {Cut::hold, until};
-    }
-    const auto i = harsh_rng_() % nodes_.size();
-    auto& node = nodes_[i];
-    node.from_state = node.from_workers = node.from_nodes = Cut::hold;
-    node.cut_until = until;
-    heal_at(until, i);
-}
-
 // ---- rules ----
 
 void World::broken(const std::string& rule, const std::string& detail) {
@@ -741,6 +733,7 @@
         }
     }
     check_answers();
+    check_waiting();
     for (const auto& team : config_.teams) {
         if (team.cpus_max > 0 && use[team.name] > team.cpus_max + 1e-6) {
             broken("quota", fmt::format("{} uses {}", team.name, use[team.name]));
@@ -864,38 +857,6 @@
     clock_.after(span, [this, i] { nodes_[i].from_state = nodes_[i].from_nodes = Cut::none; });
 }
 
-void World::refuse_leader(Millis span) {
-    const auto i = leader();
-    if (i == nodes_.size()) return;
-    nodes_[i].refused = true;
-    clock_.after(span, [this, i] { nodes_[i].refused = false; });
-}
-
-void World::state_outage(Millis span) {
-    state_.set_outage(true);
-    clock_.after(span, [this] { state_.set_outage(false); });
-}
-
-void World::cancel_running(std::size_t jobs) {
-    const auto leads = leader();
-    for (auto& [id, user] : users_) {
-        if (jobs == 0) return;
-        if (user.final || !user.accepted || user.abort_asked || user.began == Instant::max()) {
-            continue;
-        }
-        --jobs;
-        clock_.after(Millis(static_cast<std::int64_t>(rng_() % 200)),
-                     [this, &user, leads] { abort_at(user, (leads + 1) % nodes_.size()); });
-        clock_.after(Millis(1500), [this, &user] { abort(user); });
-    }
-}
-
-std::size_t World::cancelled_told() const {
-    return static_cast<std::size_t>(std::count_if(users_.begin(), users_.end(), [](const auto& u) {
-        return u.second.final == JobPhase::withdrawn;
-    }));
-}
-
 std::size_t World::killed_by_lease() const {
     std::size_t sum = 0;
     for (const auto& [host, worker] : workers_) sum += worker->killed_by_lease();
@@ -912,7 +873,7 @@
 }
 
 void World::run() {
-    const auto limit = troubles_end_ + Millis(400000);
+    const auto limit = troubles_end_ + from_seconds(options_.finish_s);
     Instant quiet_until = Instant::max();
     while (clock_.now() < std::min(limit, quiet_until) && broken_.empty()) {
         step_once(limit);
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -28,7 +28,8 @@
     // Small urgent jobs that come all the time and would take every core, and one large job of
     // lower priority among them.
     bool urgent_flow = false;
-    double task_s = 0;  // run time of every task; 0: by class
+    double task_s = 0;      // run time of every task; 0: by class
+    double finish_s = 400;  // for how long after the troubles jobs may take to end
     // Troubles of the larger fleets besides: nodes that stand still, zones cut off with packets
     // held, machines dying together, a slow state service, repeats of requests carried out.
     bool harsh = false;
@@ -49,13 +50,53 @@
     void crash_leader(Millis down = Millis(4000));
     // The leader loses the state service and the other controllers, not its workers.
     void isolate_leader(Millis span);
-    // The state service refuses the leader alone.
-    void refuse_leader(Millis span);
+
+    // Troubles of a scenario's own (troubles.cpp), each for a span from now on.
+    // The state service refuses the node alone.
+    void refuse(std::size_t node, Millis span);
+    void refuse_leader(Millis span) { refuse(leader(), span); }
     void state_outage(Millis span);
+    void state_slow(Millis span) { state_slow_until_ = clock_.now() + span; }
+    // Commands to workers are held on the way.
+    void hold_commands(Millis span) { commands_held_until_ = clock_.now() + span; }
+    // That share of transactions gets no answer and is carried out 2 to 12 s later.
+    void late_writes(double share, Millis span) { late_writes_ = {share, clock_.now() + span}; }
+    // Of that share of reports a copy arrives again at some node, up to three leases later.
+    void late_reports(double share, Millis span) { late_reports_ = {share, clock_.now() + span}; }
+    // That share of the jobs that end is called off, asked about and submitted again at the moment
+    // of the end.
+    void cancel_at_end(double share, Millis span) { cancel_at_end_ = {share, clock_.now() + span}; }
+    // Users repeat submissions, cancel what is done, and send what cannot run or lacks a field.
+    void odd_requests(Millis span);
     // The users of that many jobs under way call them off within a fifth of a second, at nodes that
     // do not lead.
     void cancel_running(std::size_t jobs);
+    enum class Unreached : std::uint8_t {
+        cut,   // nothing passes
+        held,  // nothing passes, and what was sent arrives at the end
+        deaf,  // reports arrive, answers and commands are lost
+        mute,  // reports and their answers are lost, commands arrive
+        hung
+    };
+    // So many percent of the machines.
+    void machines_unreached(Unreached how, unsigned percent, Millis span);
+    void machines_die(unsigned percent);
+    void crash_node(std::size_t node, Millis down) { crash(node % nodes_.size(), down); }
+    void crash_all(Millis down);
+    // The zone's machines and the node, cut off from everything; what was sent is held.
+    void cut_zone(const std::string& region, std::size_t node, Millis span);
+    struct Lost {
+        bool state = false;
+        bool nodes = false;
+        bool workers = false;
+    };
+    void cut_node(std::size_t node, Lost lost, bool held, Millis span);
+    // Some of all that, by chance.
+    void any_trouble();
+    // Starts later than a user was told that the job is cancelled.
+    std::size_t starts_after_cancellation() const { return starts_after_cancellation_; }
     std::size_t cancelled_told() const;
+    std::size_t nodes() const { return nodes_.size(); }
     // The node that leads, or the number of nodes if none does.
     std::size_t leader() const;
     bool leads(std::size_t node) const { return nodes_[node].core && nodes_[node].core->leads(); }
@@ -78,7 +119,11 @@
 
   private:
     // deaf: a machine's reports arrive, but no answer and no command reaches it.
-    enum class Cut : std::uint8_t { none, drop, hold, deaf };
+    enum class Cut : std::uint8_t { none, drop, hold, deaf, mute };
+    struct Chance {
+        double share = 0;
+        Instant until{};
+    };
     struct Node {
         std::unique_ptr<core::Core> core;
         std::uint64_t incarnation = 0;
@@ -104,6 +149,7 @@
         Instant final_told{};
         Instant began = Instant::max();
         std::set<std::uint32_t> completed;
+        Instant could_start_since = Instant::max();
     };
 
     // Nodes.
@@ -146,13 +192,27 @@
     void heal_at(Instant until, std::size_t node);
     void plan_harsh();
     void harsh_fault();
-    void cut_zone(const std::string& region, Millis span);
     void repeat_later(std::size_t node, const core::HttpCall& call);
     Millis state_delay();
     void step_once(Instant limit);
     void copy_later(std::size_t node, const std::string& body);
     void check();
     void check_answers();
+    void check_waiting();
+    // What is on machines: cores by team and machine, tasks by job.
+    struct Usage {
+        std::map<std::string, double> teams;
+        std::map<HostName, double> hosts;
+        std::map<JobId, std::map<std::string, std::uint32_t>> zones;
+        std::map<JobId, std::size_t> begun;
+    };
+    Usage usage();
+    bool could_start(const User& user, Usage& usage);
+    bool strikes(const Chance& chance);
+    Cut worker_cut(const HostName& host) const;
+    void serve_late(const core::HttpCall& call);
+    void odd_request();
+    void meet_the_end(User& user);
     void check_ledger();
     void broken(const std::string& rule, const std::string& detail);
 
@@ -177,6 +237,12 @@
     Instant troubles_end_{};
     Instant commands_held_until_{};
     Instant state_slow_until_{};
+    Chance late_writes_;
+    Chance late_reports_;
+    Chance cancel_at_end_;
+    std::size_t starts_after_cancellation_ = 0;
+    int odd_requests_ = 0;
+    Instant next_waiting_check_{};
     Instant next_ledger_check_{};
     Instant next_check_{};
     Millis check_every_{20};
--- /dev/null
+++ b/tests/soak.cpp
@@ -0,0 +1,28 @@
+// Runs drawn days of the simulation, seed after seed, and names those that break a rule:
+//     build/tests/tests/soak FROM COUNT
+#include <cstdlib>
+#include <iostream>
+
+#include "sim/drawn.hpp"
+
+int main(int argc, char** argv) {
+    using namespace dunebridge::sim;
+    if (argc != 3) {
+        std::cerr << "soak FROM COUNT\n";
+        return 2;
+    }
+    const auto from = std::strtoull(argv[1], nullptr, 10);
+    const auto count = std::strtoull(argv[2], nullptr, 10);
+    std::uint64_t bad = 0;
+    for (auto seed = from; seed < from + count; ++seed) {
+        World world(drawn_options(seed));
+        run_drawn(world, seed);
+        if (world.broken_rules().empty() && world.jobs_left() == 0) continue;
+        ++bad;
+        std::cout << "seed " << seed << "\n";
+        for (const auto& line : world.broken_rules()) std::cout << "  " << line << "\n";
+        std::cout << world.describe_left() << std::flush;
+    }
+    std::cout << count << " seeds, " << bad << " bad\n";
+    return bad == 0 ? 0 : 1;
+}
