--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -37,6 +37,17 @@
          w.state_outage(s(58));
          w.run_for(s(60));
      }},
+    {"CancelledAtANodeThatNoPeerHears",
+     [](World& w) {
+         w.refuse_leader(s(14));
+         w.cut_node((w.leader() + 1) % w.nodes(), {false, true, false}, false, s(70));
+         w.run_for(s(0.2));
+         w.cancel_running(6);
+         w.run_for(s(1));
+         w.state_outage(s(68));
+         w.run_for(s(70));
+     },
+     [](Options& o) { o.task_s = 150; }},
     {"TenLeadersInTwoMinutesAlsoInAnOutage",
      [](World& w) {
          for (int i = 0; i < 10; ++i) {
--- a/tests/sim/troubles.cpp
+++ b/tests/sim/troubles.cpp
@@ -235,7 +235,9 @@
         case 17:
             return cut_node(i, {true, true, false}, held, span);
         case 18:
-            return cut_node(i, {harsh_rng_() % 2 == 0, false, harsh_rng_() % 2 == 0}, held, span);
+            return cut_node(i,
+                            {harsh_rng_() % 2 == 0, harsh_rng_() % 3 == 0, harsh_rng_() % 2 == 0},
+                            held, span);
         default:
             return cut_zone(harsh_rng_() % 2 ? "a" : "b", any, span);
     }
