Old and new versions side by side; limits of the state service that fall without notice

state/limits.hpp is the only place that knows both sets of limits: rates and transactions keep to the smaller from the start, values of the older format to today's until one is refused. Greetings show the newest format that a node knows; once every known controller has shown the newer one lately, the leader records rent/!format, one way. A version that does not know the mark stops its load there.

In the newer format a progress record is of a piece of a job's tasks, 64 at first, and is split when it no longer fits; the pieces and the removal of the old record go in one transaction. Older records stay as they are until they do not fit. Before the switch, what cannot be recorded is not placed. A transaction refused for its size (400) is not repeated unchanged.

The checker knows tasks that stand in two records.

--- a/src/api/jobs.cpp
+++ b/src/api/jobs.cpp
@@ -3,9 +3,13 @@
 #include <algorithm>
 #include <set>
 
+#include "state/keys.hpp"
+
 namespace dunebridge::api {
 
 using core::LogLevel;
+using state::end_key;
+using state::job_key;
 using state::Outcome;
 using wire::JobPhase;
 using wire::JobStatus;
@@ -26,9 +30,6 @@
 constexpr double kWriteShare = 0.2;
 constexpr double kReadShare = 0.25;
 constexpr std::size_t kTxnBytes = 30 * 1024;
-
-std::string job_key(const JobId& id) { return "job/" + id.get(); }
-std::string end_key(const JobId& id) { return "end/" + id.get(); }
 }  // namespace
 
 Jobs::Jobs(core::Port& port, state::Store& store, const core::Config& config,
@@ -39,8 +40,8 @@
       types_(types),
       display_(std::move(display)),
       announce_(std::move(announce)),
-      writes_(kWriteShare * config.state_write_rps),
-      reads_(kReadShare * config.state_rps) {}
+      writes_(kWriteShare * config.state.write_rps()),
+      reads_(kReadShare * config.state.rps()) {}
 
 // ---- requests ----
 
@@ -176,7 +177,7 @@
         confirm();
     }
     while (!creates_.empty() && creating_ < kMostCreating) {
-        const auto n = static_cast<double>(std::min(creates_.size(), config_.state_txn_ops));
+        const auto n = static_cast<double>(std::min(creates_.size(), config_.state.txn_ops()));
         if (!writes_.take(n, port_.now())) {
             port_.wake_at(writes_.ready_at(n, port_.now()));
             break;
@@ -293,7 +294,7 @@
     std::vector<Ask> asks;
     std::set<JobId> asked;
     std::size_t bytes = 0;
-    while (!creates_.empty() && writes.size() < config_.state_txn_ops && bytes < kTxnBytes) {
+    while (!creates_.empty() && writes.size() < config_.state.txn_ops() && bytes < kTxnBytes) {
         auto ask = std::move(creates_.front());
         creates_.pop_front();
         if (asked.insert(ask.id).second) {
--- a/src/app/settings.cpp
+++ b/src/app/settings.cpp
@@ -44,6 +44,7 @@
         if (port < 1 || port > 65535) fail(key, "must be IP:PORT");
         return v;
     }
+    bool has(const char* key) const { return table_.contains(key); }
     Table sub(const char* key) const {
         const auto* t = table_[key].as_table();
         if (!t) fail(key, "must be a table");
@@ -113,11 +114,21 @@
     config.report = from_seconds(workers.number("report_s", 0.05, most));
     config.lease = from_seconds(workers.number("lease_s", 0.1, most));
     config.cancel = from_seconds(workers.number("cancel_s", 0.1, most));
-    const auto state = cluster.sub("state");
-    config.state_rps = state.number("rps", 1, 1e7);
-    config.state_write_rps = state.number("write_rps", 1, 1e7);
-    config.state_value_kb = state.number("value_kb", 1, 1e6);
-    config.state_txn_ops = static_cast<std::size_t>(state.number("txn_ops", 4, 1e6));
+    const auto service = cluster.sub("state");
+    const state::Limits::Set today{service.number("rps", 1, 1e7),
+                                   service.number("write_rps", 1, 1e7),
+                                   service.number("value_kb", 1, 1e6),
+                                   static_cast<std::size_t>(service.number("txn_ops", 4, 1e6))};
+    std::optional<state::Limits::Set> next;
+    if (service.has("next")) {
+        const auto n = service.sub("next");
+        next = {n.number_or("rps", today.rps, 1, 1e7),
+                n.number_or("write_rps", today.write_rps, 1, 1e7),
+                n.number_or("value_kb", today.value_kb, 1, 1e6),
+                static_cast<std::size_t>(
+                    n.number_or("txn_ops", static_cast<double>(today.txn_ops), 4, 1e6))};
+    }
+    config.state = state::Limits(today, next);
     const auto cloud = cluster.sub("cloud");
     config.cloud_rps = cloud.number("rps", 0.01, 1e6);
     config.list_lag = from_seconds(cloud.number("list_lag_s", 0, most));
--- a/src/cluster/peers.cpp
+++ b/src/cluster/peers.cpp
@@ -1,5 +1,7 @@
 #include "cluster/peers.hpp"
 
+#include <algorithm>
+
 namespace dunebridge::cluster {
 
 namespace {
@@ -15,7 +17,7 @@
 
 std::string encode(const Hello& h) {
     wire::Writer w;
-    w.map(9).text("v").count(kVersion);
+    w.map(10).text("v").count(kVersion);
     w.text("node").text(h.node.get());
     w.text("term").count(h.term.get());
     w.text("leads").boolean(h.leads);
@@ -23,6 +25,7 @@
     w.text("jobs").list(h.progress.size());
     for (const auto& p : h.progress) w.list(3).text(p.id.get()).count(p.done).count(p.running);
     w.text("log").count(h.withdrawals.incarnation).text("from").count(h.withdrawals.first);
+    w.text("format").count(h.format);
     w.text("withdrawn").list(h.withdrawals.jobs.size());
     for (const auto& id : h.withdrawals.jobs) w.text(id.get());
     return w.take();
@@ -42,6 +45,7 @@
         h.progress.push_back({JobId(j.at(0).need_text("job")), j.at(1).need_count("done"),
                               j.at(2).need_count("running")});
     }
+    if (!body["format"].is_null()) h.format = body["format"].need_count("format");
     // A version without the log vouches for nothing.
     if (body["log"].is_null()) return h;
     h.withdrawals.incarnation = body["log"].need_count("log");
@@ -165,6 +169,12 @@
     return NodeName();
 }
 
+bool Peers::all_know(std::uint64_t format) const {
+    return std::all_of(peers_.begin(), peers_.end(), [&](const auto& p) {
+        return lately(p.second) && p.second.hello.format >= format;
+    });
+}
+
 bool Peers::state_reachable_elsewhere() const {
     for (const auto& [name, peer] : peers_) {
         if (lately(peer) && peer.hello.state_reachable) return true;
--- a/src/cluster/peers.hpp
+++ b/src/cluster/peers.hpp
@@ -31,6 +31,7 @@
     bool leads = false;
     bool state_reachable = false;
     WithdrawalsPart withdrawals;
+    std::uint64_t format = 2;  // newest format of the ledger that the node knows
     std::vector<Progress> progress;
 };
 std::string encode(const Hello& hello);
@@ -57,6 +58,9 @@
     // When any peer was last heard.
     Instant last_heard() const { return last_heard_; }
     Term highest_term() const { return highest_term_; }
+    // Every known controller has lately shown that it knows the format; one not heard counts as
+    // old.
+    bool all_know(std::uint64_t format) const;
     // Some peer heard lately reaches the state service.
     bool state_reachable_elsewhere() const;
     const std::unordered_map<JobId, Progress>& progress() const { return progress_; }
--- a/src/core/config.hpp
+++ b/src/core/config.hpp
@@ -3,10 +3,12 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <cstdint>
 #include <string>
 #include <vector>
 
 #include "base/types.hpp"
+#include "state/limits.hpp"
 #include "wire/messages.hpp"
 
 namespace dunebridge::core {
@@ -85,10 +87,9 @@
     Millis lease{30000};
     Millis cancel{60000};
 
-    double state_rps = 200;
-    double state_write_rps = 80;
-    double state_value_kb = 16;
-    std::size_t state_txn_ops = 48;
+    state::Limits state;
+    // The newest format of the ledger that this node reads and writes.
+    std::uint64_t format = 3;
 
     double cloud_rps = 3;
     Millis list_lag{8000};
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "core/ledger_records.hpp"
+
 namespace dunebridge::core {
 
 namespace {
@@ -72,6 +74,9 @@
     if (upkeep && leads()) resign_if_deaf();
     if (leads()) {
         apply_withdrawals();
+        if (upkeep && config_.format >= kNewFormat && peers_.all_know(kNewFormat)) {
+            ledger_.use_new_format();
+        }
         fleet_.tick();
         schedule();
         workers_.tick();
@@ -321,6 +326,7 @@
     h.leads = leads();
     h.term = election_.is_leader() ? election_.term() : peers_.highest_term();
     h.state_reachable = store_.reachable();
+    h.format = config_.format;
     h.withdrawals = withdrawals_.kept();
     if (!h.leads) return h;
     for (const auto& [id, job] : ledger_.jobs()) {
--- a/src/core/ledger.cpp
+++ b/src/core/ledger.cpp
@@ -11,7 +11,7 @@
       store_(store),
       election_(election),
       config_(config),
-      writes_(kWriteShare * config.state_write_rps) {}
+      writes_(kWriteShare * config.state.write_rps()) {}
 
 bool Ledger::current(std::uint64_t generation) const {
     return generation == generation_ && election_.is_leader() &&
@@ -28,6 +28,9 @@
     use_.clear();
     dirty_.clear();
     stored_.clear();
+    replacing_.clear();
+    replaces_.clear();
+    new_format_ = false;
     in_commit_ = false;
 }
 
@@ -46,6 +49,45 @@
     job.waiting.resize(job.spec.shards);
     for (std::uint32_t i = 0; i < job.spec.shards; ++i) job.waiting[i] = job.spec.shards - 1 - i;
     stored_.try_emplace(kJobs + it->first.get());
+    if (loaded_) cut(job);
+}
+
+// The record that a task is to be in, if it is in none yet.
+Piece Ledger::whole_piece(const Job& job, std::uint32_t index) const {
+    const auto all = static_cast<std::uint32_t>(job.tasks.size());
+    const auto most = new_format_ ? kPiece : kChunk;
+    const auto from = index / most * most;
+    const auto size = std::min(most, all - from);
+    return {
+        from, size,
+        new_format_ ? piece_key(job.spec.id, from, size) : chunk_key(job.spec.id, from / kChunk)};
+}
+
+// Completes the pieces that are on record.
+void Ledger::cut(Job& job) {
+    std::sort(job.pieces.begin(), job.pieces.end(),
+              [](const Piece& a, const Piece& b) { return a.from < b.from; });
+    std::vector<Piece> all;
+    std::uint32_t next = 0;
+    const auto fill_to = [&](std::uint32_t end) {
+        while (next < end) {
+            auto piece = whole_piece(job, next);
+            const auto until = std::min(piece.from + piece.size, end);
+            // What is left beside smaller pieces.
+            if (piece.from != next || until != piece.from + piece.size) {
+                piece = {next, until - next, piece_key(job.spec.id, next, until - next)};
+            }
+            next = until;
+            all.push_back(std::move(piece));
+        }
+    };
+    for (auto& piece : job.pieces) {
+        fill_to(piece.from);
+        next = piece.from + piece.size;
+        all.push_back(std::move(piece));
+    }
+    fill_to(static_cast<std::uint32_t>(job.tasks.size()));
+    job.pieces = std::move(all);
 }
 
 Job* Ledger::find_job(const JobId& id) {
@@ -100,15 +142,14 @@
             ++it;
             continue;
         }
-        const auto chunks = chunks_of(job);
+        const auto pieces = std::move(job.pieces);
         const auto id = it->first;
         it = jobs_.erase(it);
         // The job's own record goes last: without it nobody would know what its tasks take.
-        for (std::uint32_t c = 0; c < chunks; ++c) {
-            const auto key = chunk_key(id, c);
+        for (const auto& piece : pieces) {
             // Its first write may be under way.
-            stored_.contains(key) || in_commit_ ? mark(key, Pace::cadence)
-                                                : (void)dirty_.erase(key);
+            stored_.contains(piece.key) || in_commit_ ? mark(piece.key, Pace::cadence)
+                                                      : (void)dirty_.erase(piece.key);
         }
         mark(kJobs + id.get(), Pace::cadence);
     }
--- a/src/core/ledger.hpp
+++ b/src/core/ledger.hpp
@@ -7,10 +7,11 @@
 // may be repeated on the way: it also guards the revision of each record that it writes, so that a
 // repeat cannot put an older record over a newer one.
 //
-// Placements are recorded per job and chunk of its tasks, machines per rental, so that the number
-// of changes grows neither with tasks nor with machines touched. What users wait for (ends) and
-// what lets tasks start (placements, claims) is committed at once; what is proved done or gone
-// follows at a fixed cadence, and until then the workers' lists of exited tasks hold it.
+// Placements are recorded per job and piece of its tasks, machines per rental, so that the number
+// of changes grows little with tasks and not with machines touched. A piece whose record no longer
+// fits the state service's limits is split, in one transaction. What users wait for (ends) and what
+// lets tasks start (placements, claims) is committed at once; what is proved done or gone follows
+// at a fixed cadence, and until then the workers' lists of exited tasks hold it.
 #pragma once
 
 #include <cstdint>
@@ -52,8 +53,16 @@
     bool shielded = false;  // the paper's flag 2: stopped once by preemption
 };
 
+// Part of a job's tasks that has a record of its own.
+struct Piece {
+    std::uint32_t from = 0;
+    std::uint32_t size = 0;
+    std::string key;
+};
+
 struct Job {
     wire::JobSpec spec;
+    std::vector<Piece> pieces;  // all of its tasks, in order
     std::uint64_t serial = 0;
     Instant submitted{};
     JobState state = JobState::open;
@@ -227,6 +236,10 @@
 
     const TeamUse& use(const std::string& team) { return use_[team]; }
 
+    // Every controller knows the newer format: it may be written from now on, for good.
+    void use_new_format();
+    bool new_format() const { return new_format_; }
+
     Version version() const { return version_; }
     // The record's changes up to this version are in the state service.
     bool committed(const std::string& key, Version version) const;
@@ -252,7 +265,11 @@
         std::vector<wire::Guard> guards;
         std::vector<wire::Write> writes;
         std::vector<Placement*> placements;
+        std::vector<std::string> groups;  // by the key of the record that is replaced
         std::size_t bytes = 0;
+        std::size_t most = 0;      // writes
+        std::size_t short_by = 0;  // the budget must bear so many first
+        bool split = false;        // something became smaller and is due anew
     };
     struct Record {
         std::string packed;
@@ -263,10 +280,17 @@
     void mark_progress(const Job& job, std::uint32_t index, Pace pace);
     std::vector<std::pair<std::string, Dirty>> due_keys();
     bool add_to(Commit& commit, std::set<std::string>& guarded, const std::string& key);
+    void add_record(Commit& commit, std::set<std::string>& guarded, const std::string& key,
+                    std::optional<Record> value);
     std::optional<Record> value_of(const std::string& key);
     Record group_value(const Group& group) const;
-    Record progress_value(const Job& job, std::uint32_t chunk) const;
-    std::pair<Job*, std::uint32_t> chunk_of(const std::string& key);
+    Record progress_value(const Job& job, const Piece& piece) const;
+    std::pair<Job*, const Piece*> piece_of(const std::string& key);
+    Piece whole_piece(const Job& job, std::uint32_t index) const;
+    void cut(Job& job);
+    bool split(const std::string& key, Commit& commit);
+    void put_off(const std::string& key, std::optional<Record>& value);
+    bool add_group(Commit& commit, std::set<std::string>& guarded, const std::string& parent);
     void leave_group(const Machine& machine);
     void bad_record(const std::string& key, const std::string& error);
     void finish_commit(const Commit& commit, const state::MultiResult& result);
@@ -310,6 +334,11 @@
     std::map<std::string, Dirty> dirty_;
     // Keys of job/, prog/ and rent/ that exist; for the latter two, the revision they were left at.
     std::unordered_map<std::string, KeyRev> stored_;
+    // Records that take the place of a larger one, by the key of that: one transaction for all.
+    std::map<std::string, std::set<std::string>> replacing_;
+    std::map<std::string, std::string> replaces_;
+    bool new_format_ = false;
+    bool limits_lowered_ = false;  // the state service has refused a value that fitted before
     bool in_commit_ = false;
     Instant next_commit_{};
     std::uint64_t changes_sent_ = 0;
--- a/src/core/ledger_commit.cpp
+++ b/src/core/ledger_commit.cpp
@@ -14,6 +14,8 @@
 constexpr Millis kCommitEvery{30};
 constexpr Millis kCommitEveryWhenShort{200};
 constexpr Millis kCommitRetry{120};
+constexpr Millis kRefusedRetry{5000};
+constexpr Millis kPutOff{2000};
 // What is proved done or gone is on the workers' lists until it is on record.
 constexpr Millis kCadence{1500};
 constexpr std::size_t kTxnBytes = 60 * 1024;  // of the protocol's 64 KiB
@@ -36,7 +38,10 @@
 }
 
 std::string Ledger::record_of(const Job& job, std::uint32_t index) {
-    return chunk_key(job.spec.id, index / kChunk);
+    const auto after =
+        std::upper_bound(job.pieces.begin(), job.pieces.end(), index,
+                         [](std::uint32_t i, const Piece& piece) { return i < piece.from; });
+    return after == job.pieces.begin() ? std::string() : std::prev(after)->key;
 }
 
 bool Ledger::committed(const std::string& key, Version version) const {
@@ -58,9 +63,10 @@
     return {w.take(), w.json_size()};
 }
 
-Ledger::Record Ledger::progress_value(const Job& job, std::uint32_t chunk) const {
-    const auto from = chunk * kChunk;
-    const auto to = std::min(from + kChunk, static_cast<std::uint32_t>(job.tasks.size()));
+Ledger::Record Ledger::progress_value(const Job& job, const Piece& piece) const {
+    const auto from = piece.from;
+    const auto to = std::min(from + piece.size, static_cast<std::uint32_t>(job.tasks.size()));
+    const bool chunk = piece.key == chunk_key(job.spec.id, from / kChunk);
     std::map<std::string_view, std::vector<const Placement*>> by_host;
     std::uint64_t base = std::numeric_limits<std::uint64_t>::max();
     for (auto i = from; i < to; ++i) {
@@ -71,7 +77,8 @@
     }
     if (by_host.empty()) base = 0;
     Writer w;
-    w.map(6).text("v").count(kFormat).text("from").count(from);
+    w.map(chunk ? 6 : 7).text("v").count(chunk ? kFormat : kNewFormat).text("from").count(from);
+    if (!chunk) w.text("size").count(piece.size);
     w.text("done").text(to_hex(from, to, [&](std::uint32_t i) { return job.tasks[i].done; }));
     w.text("shielded").text(to_hex(from, to, [&](std::uint32_t i) {
         return job.tasks[i].shielded;
@@ -84,18 +91,26 @@
     return {w.take(), w.json_size()};
 }
 
-// The job and chunk that a progress record is of; null once the job is forgotten.
-std::pair<Job*, std::uint32_t> Ledger::chunk_of(const std::string& key) {
+// The job and piece that a progress record is of; null once the job is forgotten, or the piece
+// split.
+std::pair<Job*, const Piece*> Ledger::piece_of(const std::string& key) {
     const auto name = after(key, kProgress);
-    const auto cut = name.rfind('/');
-    return {find_job(JobId(name.substr(0, cut))),
-            static_cast<std::uint32_t>(std::stoul(name.substr(cut + 1)))};
+    auto* job = find_job(JobId(name.substr(0, name.rfind('/'))));
+    if (!job) return {nullptr, nullptr};
+    const auto it = std::find_if(job->pieces.begin(), job->pieces.end(),
+                                 [&](const Piece& p) { return p.key == key; });
+    return {job, it == job->pieces.end() ? nullptr : &*it};
 }
 
 std::optional<Ledger::Record> Ledger::value_of(const std::string& key) {
     if (key.starts_with(kProgress)) {
-        const auto [job, chunk] = chunk_of(key);
-        if (job) return progress_value(*job, chunk);
+        const auto [job, piece] = piece_of(key);
+        if (piece) return progress_value(*job, *piece);
+    } else if (key == kFormatMark) {
+        if (!new_format_) return std::nullopt;
+        Writer w;
+        w.map(1).text("v").count(kNewFormat);
+        return Record{w.take(), w.json_size()};
     } else if (key.starts_with(kGroups)) {
         const auto it = groups_.find(after(key, kGroups));
         if (it != groups_.end()) return group_value(it->second);
@@ -132,27 +147,144 @@
     return due;
 }
 
+// A piece whose record has grown too large becomes several, each of which fits; all of them and the
+// removal of the old record go in one transaction.
+bool Ledger::split(const std::string& key, Commit& commit) {
+    const auto [job, found] = piece_of(key);
+    if (!new_format_ || !found || found->size < 2) return false;
+    const auto whole = *found;
+    // One that is itself to take the place of another, in the same transaction, does not go first.
+    const auto outer = replaces_.find(key);
+    const auto parent = outer == replaces_.end() ? key : outer->second;
+    const auto limit = config_.state.value_bytes();
+    std::vector<Piece> parts;
+    for (std::uint32_t parts_wanted = 2; parts.empty(); parts_wanted *= 2) {
+        // Sizes in steps of four, as a digit of the sets has four tasks; the last may be smaller.
+        const auto step =
+            std::max<std::uint32_t>(1, (whole.size + parts_wanted - 1) / parts_wanted);
+        const auto size = step >= 4 ? (step + 3) / 4 * 4 : step;
+        for (auto from = whole.from; from < whole.from + whole.size; from += size) {
+            const auto n = std::min(size, whole.from + whole.size - from);
+            parts.push_back({from, n, piece_key(job->spec.id, from, n)});
+        }
+        const bool fit = std::all_of(parts.begin(), parts.end(), [&](const Piece& p) {
+            return progress_value(*job, p).json <= limit;
+        });
+        if (!fit && size > 1) parts.clear();
+    }
+    auto& group = replacing_[parent];
+    if (group.size() + parts.size() + 1 > config_.state.txn_ops()) {
+        if (group.empty()) replacing_.erase(parent);
+        return false;
+    }
+    const auto dirty = dirty_.find(key);
+    const auto was =
+        dirty == dirty_.end() ? Dirty{0, 0, Pace::cadence, port_.now()} : dirty->second;
+    group.erase(key);
+    replaces_.erase(key);
+    const auto at = std::find_if(job->pieces.begin(), job->pieces.end(),
+                                 [&](const Piece& p) { return p.key == key; });
+    const auto where = job->pieces.erase(at);
+    job->pieces.insert(where, parts.begin(), parts.end());
+    for (const auto& part : parts) {
+        group.insert(part.key);
+        replaces_[part.key] = parent;
+        mark(part.key, was.pace);
+        auto& d = dirty_[part.key];
+        d.since = was.since;
+        if (was.first != 0) d.first = std::min(d.first, was.first);
+    }
+    if (key != parent) {
+        dirty_.erase(key);
+    } else {
+        mark(parent, was.pace);
+    }
+    port_.log(LogLevel::info, "event=record_split key={} parts={}", key, parts.size());
+    commit.split = true;
+    return true;
+}
+
+// What cannot be recorded is not done: placements that make the record too large wait again.
+void Ledger::put_off(const std::string& key, std::optional<Record>& value) {
+    const auto [job, piece] = piece_of(key);
+    const auto limit = config_.state.value_bytes_now(limits_lowered_);
+    while (piece && value && value->json > limit) {
+        std::vector<Placement*> open;
+        for (auto i = piece->from; i < piece->from + piece->size; ++i) {
+            auto* p = job->tasks[i].at;
+            if (p && !p->committed && !p->in_commit) open.push_back(p);
+        }
+        if (open.empty()) break;
+        const auto most = (open.size() + 1) / 2;
+        for (std::size_t i = 0; i < most; ++i) {
+            remove(*open[i]->machine, {job->serial, open[i]->index});
+        }
+        job->retry_at = port_.now() + kPutOff;
+        value = progress_value(*job, *piece);
+    }
+}
+
+// All records of the group, or none.
+bool Ledger::add_group(Commit& commit, std::set<std::string>& guarded, const std::string& parent) {
+    const auto group = replacing_.at(parent);
+    std::size_t bytes = 0;
+    for (const auto& key : group) {
+        const auto value = value_of(key);
+        if (value) bytes += 3 * kGuardBytes + key.size() + value->json;
+    }
+    const bool fits = commit.writes.size() + group.size() + 1 <= commit.most &&
+                      commit.bytes + bytes + 3 * kGuardBytes + parent.size() <= kTxnBytes;
+    if (!fits) {
+        if (commit.writes.empty()) commit.short_by = group.size() + 1;
+        return false;
+    }
+    commit.groups.push_back(parent);
+    for (const auto& key : group) add_record(commit, guarded, key, value_of(key));
+    add_record(commit, guarded, parent, std::nullopt);
+    return true;
+}
+
 // False if there is no more room in the transaction.
 bool Ledger::add_to(Commit& commit, std::set<std::string>& guarded, const std::string& key) {
+    const auto of_group = replaces_.find(key);
+    const auto parent = of_group == replaces_.end() ? key : of_group->second;
+    const bool grouped = replacing_.contains(parent);
+    if (grouped &&
+        std::find(commit.groups.begin(), commit.groups.end(), parent) != commit.groups.end()) {
+        return true;
+    }
     auto value = value_of(key);
-    if (!value && !stored_.contains(key)) {
+    if (!value && !stored_.contains(key) && !grouped) {
         dirty_.erase(key);
         return true;
     }
-    if (value && value->json > static_cast<std::size_t>(config_.state_value_kb * 1024)) {
-        // It stays as it was; what it adds is never acted on.
-        port_.log(LogLevel::error, "event=record_too_large key={} bytes={}", key, value->json);
-        return true;
+    const auto limit =
+        new_format_ ? config_.state.value_bytes() : config_.state.value_bytes_now(limits_lowered_);
+    if (value && value->json > limit) {
+        if (split(key, commit)) return true;  // what it has become is due at the next turn
+        put_off(key, value);
+        if (value && value->json > config_.state.value_bytes_now(limits_lowered_)) {
+            // It stays as it was; what it adds is never acted on.
+            port_.log(LogLevel::error, "event=record_too_large key={} bytes={}", key, value->json);
+            return true;
+        }
     }
+    if (grouped) return add_group(commit, guarded, parent);
     const auto bytes = 3 * kGuardBytes + key.size() + (value ? value->json : 0);
+    if (commit.writes.size() >= commit.most) return false;
     if (commit.bytes + bytes > kTxnBytes && !commit.writes.empty()) return false;
+    add_record(commit, guarded, key, std::move(value));
+    return true;
+}
+
+void Ledger::add_record(Commit& commit, std::set<std::string>& guarded, const std::string& key,
+                        std::optional<Record> value) {
     // Placements may only be recorded for jobs without an end, and ends only once.
     std::string guard;
     if (key.starts_with(kEnds)) guard = key;
     if (key.starts_with(kProgress) && value) {
-        const auto [job, chunk] = chunk_of(key);
-        const auto to = std::min<std::size_t>((chunk + 1) * std::size_t{kChunk}, job->tasks.size());
-        for (std::size_t i = chunk * std::size_t{kChunk}; i < to; ++i) {
+        const auto [job, piece] = piece_of(key);
+        for (auto i = piece->from; i < piece->from + piece->size; ++i) {
             auto* p = job->tasks[i].at;
             if (!p || p->committed) continue;
             commit.placements.push_back(p);
@@ -160,15 +292,22 @@
         }
     }
     if (!guard.empty() && guarded.insert(guard).second) commit.guards.push_back({guard, KeyRev()});
+    const auto known = stored_.find(key);
     if (key.starts_with(kProgress) || key.starts_with(kGroups)) {
-        const auto known = stored_.find(key);
         commit.guards.push_back({key, known == stored_.end() ? KeyRev() : known->second});
     }
-    commit.bytes += bytes;
+    commit.bytes += 3 * kGuardBytes + key.size() + (value ? value->json : 0);
     commit.keys.emplace_back(key, value.has_value());
+    if (!value && known == stored_.end()) return;  // nothing is there to be removed
     commit.writes.push_back(
         {key, value ? std::optional(std::move(value->packed)) : std::nullopt, std::nullopt});
-    return true;
+}
+
+void Ledger::use_new_format() {
+    if (new_format_ || !loaded_) return;
+    new_format_ = true;
+    port_.log(LogLevel::info, "event=format version={}", kNewFormat);
+    mark(kFormatMark, Pace::end);
 }
 
 void Ledger::flush() {
@@ -186,15 +325,21 @@
         port_.wake_at(next_commit_);
         return;
     }
-    const auto most = std::min(config_.state_txn_ops, static_cast<std::size_t>(budget));
     Commit commit;
+    commit.most = std::min(config_.state.txn_ops(), static_cast<std::size_t>(budget));
     commit.version = version_;
     commit.guards.push_back(election_.guard());
     std::set<std::string> guarded;
     for (const auto& [key, d] : due) {
-        if (commit.writes.size() >= most || !add_to(commit, guarded, key)) break;
+        if (!add_to(commit, guarded, key)) break;
+    }
+    if (commit.writes.empty()) {
+        if (commit.short_by > 0) {
+            next_commit_ = writes_.ready_at(static_cast<double>(commit.short_by), now);
+        }
+        if (commit.split || commit.short_by > 0) port_.wake_at(std::max(next_commit_, now));
+        return;
     }
-    if (commit.writes.empty()) return;
     writes_.take(static_cast<double>(commit.writes.size()), now);
     changes_sent_ += commit.writes.size();
     for (auto* p : commit.placements) p->in_commit = true;
@@ -202,7 +347,7 @@
     in_commit_ = true;
     // With little budget left, fewer and fuller transactions: a record is then written once for
     // several changes to it.
-    const bool is_short = budget < kWriteShare * config_.state_write_rps / 2;
+    const bool is_short = budget < kWriteShare * config_.state.write_rps() / 2;
     next_commit_ = now + (is_short ? kCommitEveryWhenShort : kCommitEvery);
     const auto guards = std::move(commit.guards);
     const auto writes = std::move(commit.writes);
@@ -230,12 +375,24 @@
     }
     if (result.outcome == Outcome::conflict) {
         conflict(result);
+    } else if (result.outcome == Outcome::malformed) {
+        // Larger than the service takes now. What is sent from here on fits the smaller limits;
+        // were it refused all the same, it is not repeated at once.
+        const bool news = !limits_lowered_;
+        limits_lowered_ = true;
+        port_.log(LogLevel::error, "event=commit_refused writes={} bytes={}", commit.keys.size(),
+                  commit.bytes);
+        next_commit_ = port_.now() + (news ? kCommitRetry : kRefusedRetry);
     } else {
         next_commit_ = port_.now() + kCommitRetry + port_.jitter(kCommitRetry);
     }
 }
 
 void Ledger::committed_keys(const Commit& commit, KeyRev rev) {
+    for (const auto& parent : commit.groups) {
+        for (const auto& key : replacing_[parent]) replaces_.erase(key);
+        replacing_.erase(parent);
+    }
     for (const auto& [key, set] : commit.keys) {
         auto it = dirty_.find(key);
         if (it != dirty_.end()) {
@@ -253,11 +410,10 @@
         }
         set ? (void)(stored_[key] = rev) : (void)stored_.erase(key);
         if (!key.starts_with(kProgress)) continue;
-        const auto [job, chunk] = chunk_of(key);
-        if (!job) continue;
+        const auto [job, piece] = piece_of(key);
+        if (!piece) continue;
         bool more_to_start = false;
-        const auto to = std::min<std::size_t>((chunk + 1) * std::size_t{kChunk}, job->tasks.size());
-        for (std::size_t i = chunk * std::size_t{kChunk}; i < to; ++i) {
+        for (auto i = piece->from; i < piece->from + piece->size; ++i) {
             auto* p = job->tasks[i].at;
             if (!p || p->committed) continue;
             if (!p->in_commit) {
--- a/src/core/ledger_load.cpp
+++ b/src/core/ledger_load.cpp
@@ -73,6 +73,13 @@
 void Ledger::load_groups(const state::ListResult& result) {
     for (const auto& row : result.rows) {
         try {
+            if (row.key == kFormatMark && config_.format >= kNewFormat) {
+                if (row.value["v"].count() != kNewFormat)
+                    throw wire::DecodeError("unknown version");
+                new_format_ = true;
+                stored_[row.key] = row.rev;
+                continue;
+            }
             need_format(row.value);
             Group group;
             group.request = wire::decode_rental(row.value);
@@ -102,7 +109,6 @@
 void Ledger::load_progress(const state::ListResult& result) {
     for (const auto& row : result.rows) {
         try {
-            need_format(row.value);
             load_chunk(row);
         } catch (const wire::DecodeError& e) {
             bad_record(row.key, e.what());
@@ -110,6 +116,7 @@
         }
     }
     for (auto& [id, job] : jobs_) {
+        cut(job);
         std::erase_if(job.waiting, [&](std::uint32_t i) {
             return job.tasks[i].done || job.tasks[i].at != nullptr;
         });
@@ -128,6 +135,12 @@
     if (slash == std::string::npos || slash <= start) throw wire::DecodeError("key");
     const JobId id(row.key.substr(start, slash - start));
     const auto from = static_cast<std::uint32_t>(row.value["from"].need_count("from"));
+    const auto version = row.value["v"].count();
+    const bool piece = version == kNewFormat && config_.format >= kNewFormat;
+    if (!piece) need_format(row.value);
+    const auto size_here =
+        piece ? static_cast<std::uint32_t>(row.value["size"].need_count("size")) : kChunk;
+    if (size_here == 0 || size_here > kChunk) throw wire::DecodeError("size");
     stored_[row.key] = row.rev;
     Job* job = find_job(id);
     if (!job) {
@@ -139,9 +152,11 @@
         job->state = JobState::ended;
         job->ended_at = port_.now();
     }
-    if (job->spec.shards == 0 && job->tasks.size() < from + kChunk)
-        job->tasks.resize(from + kChunk);
+    if (job->spec.shards == 0 && job->tasks.size() < from + size_here)
+        job->tasks.resize(from + size_here);
     const auto size = static_cast<std::uint32_t>(job->tasks.size());
+    if (from >= size) throw wire::DecodeError("from");
+    job->pieces.push_back({from, std::min(size_here, size - from), row.key});
     from_hex(row.value["done"].need_text("done"), from, size,
              [&](std::uint32_t i) { job->tasks[i].done = true; });
     from_hex(row.value["shielded"].need_text("shielded"), from, size,
--- a/src/core/ledger_records.hpp
+++ b/src/core/ledger_records.hpp
@@ -6,18 +6,24 @@
 #include <string_view>
 
 #include "core/ledger.hpp"
+#include "state/keys.hpp"
 
 namespace dunebridge::core {
 
-inline constexpr const char* kJobs = "job/";
-inline constexpr const char* kEnds = "end/";
-inline constexpr const char* kProgress = "prog/";
-inline constexpr const char* kGroups = "rent/";
+using state::kEnds;
+using state::kFormatMark;
+using state::kGroups;
+using state::kJobs;
+using state::kProgress;
 
-inline constexpr std::uint64_t kFormat = 2;  // of prog/ and rent/ records
-// Tasks in one progress record. Each on a machine of its own takes some 45 bytes, so that a full
-// record stays under 16 KiB.
+inline constexpr std::uint64_t kFormat =
+    2;  // of rent/ records, and prog/ records as long as need be
+inline constexpr std::uint64_t kNewFormat = 3;  // prog/ records say how many tasks they are of
+// Tasks in one progress record of the older format. Each on a machine of its own takes some 45
+// bytes, so that a full record stays under 16 KiB.
 inline constexpr std::uint32_t kChunk = 256;
+// In the newer one a record begins with so many, and is split when it grows too large.
+inline constexpr std::uint32_t kPiece = 64;
 inline constexpr Millis kCommitTimeout{2500};
 // The rest of the write budget is for submissions and cancellations at any node.
 inline constexpr double kWriteShare = 0.6;
@@ -30,8 +36,9 @@
     return kProgress + id.get() + "/" + std::to_string(chunk);
 }
 
-inline std::uint32_t chunks_of(const Job& job) {
-    return static_cast<std::uint32_t>((job.tasks.size() + kChunk - 1) / kChunk);
+// Key of a record of the newer format.
+inline std::string piece_key(const JobId& id, std::uint32_t from, std::uint32_t size) {
+    return kProgress + id.get() + "/t" + std::to_string(from) + "+" + std::to_string(size);
 }
 
 inline void need_format(const wire::Value& record) {
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -32,6 +32,8 @@
 constexpr Millis kObserveFirst{20000};  // a new leader returns no idle machines before
 constexpr std::size_t kMostHosts = 100;
 constexpr std::uint64_t kMostRented = 50;
+constexpr std::size_t kRentalBytes = 400;
+constexpr std::size_t kHostBytes = 30;
 constexpr double kLoadMemory_s = 45;
 constexpr double kLearnRate = 0.1;
 // The other nodes' share of the cloud's budget is for the machine types.
@@ -456,10 +458,15 @@
               "event=sizing load={:.1f} placed={:.1f} target={:.1f} up={} machines={} waiting={}",
               load_cores_, in.placed_cores, result.target_cores, up_cores, machines.size(),
               in.demand.size());
+    // The record of a rental names its machines, and must fit the state service's limits.
+    const auto most = std::min<std::uint64_t>(
+        kMostRented, config_.state.value_bytes() > 2 * kRentalBytes
+                         ? (config_.state.value_bytes() - kRentalBytes) / kHostBytes
+                         : 1);
     for (const auto& rent : result.rent) {
         const auto claim = fmt::format("{}-{}", election_.term().get(), ++claim_count_);
         ledger_.add_claim({claim, rent.market.shape, rent.market.region, rent.market.spot,
-                           std::min<std::uint64_t>(rent.count, kMostRented)});
+                           std::min<std::uint64_t>(rent.count, most)});
     }
     if (port_.now() < no_return_before_) return;
     for (const auto i : result.give_back) remove(*machines[i], "idle");
--- /dev/null
+++ b/src/state/keys.hpp
@@ -0,0 +1,21 @@
+// Names of what is kept in the state service.
+#pragma once
+
+#include <string>
+
+#include "base/types.hpp"
+
+namespace dunebridge::state {
+
+inline constexpr const char* kJobs = "job/";
+inline constexpr const char* kEnds = "end/";
+inline constexpr const char* kProgress = "prog/";
+inline constexpr const char* kGroups = "rent/";
+// Once it is there, records of the newer format may be: it sorts before every rental, and a version
+// that does not know it stops its load there.
+inline constexpr const char* kFormatMark = "rent/!format";
+
+inline std::string job_key(const JobId& id) { return kJobs + id.get(); }
+inline std::string end_key(const JobId& id) { return kEnds + id.get(); }
+
+}  // namespace dunebridge::state
--- /dev/null
+++ b/src/state/limits.hpp
@@ -0,0 +1,44 @@
+// What the state service takes: today, and from some unannounced moment on.
+#pragma once
+
+#include <algorithm>
+#include <cstddef>
+#include <optional>
+
+namespace dunebridge::state {
+
+// The only place that knows both sets of limits. What can keep to the smaller of them at no cost
+// does so from the start: rates and the size of transactions. Values of the format that is in force
+// before all controllers know the new one may be as large as today's until the service refuses one.
+class Limits {
+  public:
+    struct Set {
+        double rps = 200;
+        double write_rps = 80;
+        double value_kb = 16;
+        std::size_t txn_ops = 48;
+    };
+
+    Limits() = default;
+    explicit Limits(const Set& today, const std::optional<Set>& next = std::nullopt)
+        : today_(today), next_(next.value_or(today)) {}
+
+    double rps() const { return std::min(today_.rps, next_.rps); }
+    double write_rps() const { return std::min(today_.write_rps, next_.write_rps); }
+    std::size_t txn_ops() const { return std::min(today_.txn_ops, next_.txn_ops); }
+    std::size_t max_guards() const { return 4 * txn_ops(); }
+    // What will be taken whenever it is sent.
+    std::size_t value_bytes() const { return bytes(std::min(today_.value_kb, next_.value_kb)); }
+    // What is taken now, as far as is known.
+    std::size_t value_bytes_now(bool lowered) const {
+        return lowered ? value_bytes() : bytes(today_.value_kb);
+    }
+
+  private:
+    static std::size_t bytes(double kb) { return static_cast<std::size_t>(kb * 1024); }
+
+    Set today_;
+    Set next_;
+};
+
+}  // namespace dunebridge::state
--- a/src/state/store.cpp
+++ b/src/state/store.cpp
@@ -84,7 +84,7 @@
                      break;
                  case 400:
                      result.outcome = body["error"].text() == "no such lease" ? Outcome::no_lease
-                                                                              : Outcome::refused;
+                                                                              : Outcome::malformed;
                      break;
                  case 0:
                  case 500:
--- a/src/state/store.hpp
+++ b/src/state/store.hpp
@@ -35,10 +35,11 @@
 
 enum class Outcome : std::uint8_t {
     ok,
-    conflict,  // a guard did not hold; nothing was written
-    refused,   // certainly not executed
-    no_lease,  // certainly not executed: the lease of a put has ended
-    unknown    // may have been executed, or may yet be
+    conflict,   // a guard did not hold; nothing was written
+    refused,    // certainly not executed
+    malformed,  // certainly not executed, nor ever will be: larger than the service takes, or wrong
+    no_lease,   // certainly not executed: the lease of a put has ended
+    unknown     // may have been executed, or may yet be
 };
 
 struct MultiResult {
@@ -100,7 +101,7 @@
     // How long calls have gone without a good answer.
     Millis silent_for() const;
 
-    std::size_t max_guards() const { return 4 * config_.state_txn_ops; }
+    std::size_t max_guards() const { return config_.state.max_guards(); }
 
   private:
     void call(std::string method, std::string target, std::string body, Millis timeout,
--- a/tests/sim/troubles.cpp
+++ b/tests/sim/troubles.cpp
@@ -173,6 +173,16 @@
     for (std::size_t i = 0; i < nodes_.size(); ++i) crash(i, down);
 }
 
+void World::upgrade(std::size_t i, Millis down) {
+    nodes_[i].old_version = false;
+    crash(i, down);
+}
+
+void World::lower_limits() {
+    state_.set_limits({config_.state.rps(), config_.state.write_rps(), config_.state.txn_ops(),
+                       config_.state.value_bytes(), 20});
+}
+
 void World::cut_zone(const std::string& region, std::size_t i, Millis span) {
     const auto until = clock_.now() + span;
     for (auto& [host, w] : workers_) {
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -35,8 +35,6 @@
         c.lease = Millis(36000);
         c.cancel = Millis(56000);
         c.list_lag = Millis(8000);
-        c.state_rps = 180;
-        c.state_write_rps = 70;
         c.cloud_rps = 3;
         c.fd_limit = 2928;
     }
@@ -79,13 +77,16 @@
               }}) {
     nodes_.resize(3);
     troubles_end_ = clock_.now() + from_seconds(options.troubles_s);
+    config_.state = options.limits;
+    if (options.fleet) config_.state = state::Limits({180, 70, 16, 48});
+    for (auto& node : nodes_) node.old_version = options.old_version;
     for (std::size_t i = 0; i < nodes_.size(); ++i) boot(i);
     options.urgent_flow ? make_flow() : make_users(options.jobs);
     if (options.fault_every_s > 0) plan_fault();
     if (options.harsh) plan_harsh();
     if (!options.fleet) return;
-    state_.set_limits({config_.state_rps, config_.state_write_rps, config_.state_txn_ops,
-                       static_cast<std::size_t>(config_.state_value_kb * 1024), 1000});
+    state_.set_limits({config_.state.rps(), config_.state.write_rps(), config_.state.txn_ops(),
+                       config_.state.value_bytes(), 1000});
     cloud_.set_limits(config_.cloud_rps, 500);
     check_every_ = check_ledger_every_ = Millis(1000);
 }
@@ -104,6 +105,7 @@
         config.known.push_back({NodeName(name), "a", name});
     }
     auto& node = nodes_[i];
+    if (node.old_version) config.format = 2;
     const bool verbose = std::getenv("SIM_LOG") != nullptr;
     node.core = std::make_unique<core::Core>(
         config, rng_(), verbose ? core::LogLevel::debug : core::LogLevel::info);
@@ -759,6 +761,7 @@
 void World::check_ledger() {
     using Recorded = std::tuple<std::string, std::string, std::uint64_t, std::uint64_t>;
     std::set<Recorded> recorded;  // host, job, index, attempt
+    std::set<std::pair<std::string, std::uint64_t>> placed;
     for (const auto& [key, value] : state_.values("prog/")) {
         const auto doc = wire::Document::parse(value);
         const auto record = doc->root();
@@ -767,10 +770,14 @@
         for (std::size_t h = 0; h < hosts.size(); ++h) {
             const auto entry = hosts.at(h);
             for (std::size_t i = 1; i + 1 < entry.size(); i += 2) {
+                const auto index =
+                    record["from"].need_count("from") + entry.at(i).need_count("index");
                 recorded.emplace(
-                    entry.at(0).need_text("host"), job,
-                    record["from"].need_count("from") + entry.at(i).need_count("index"),
+                    entry.at(0).need_text("host"), job, index,
                     record["base"].need_count("base") + entry.at(i + 1).need_count("try"));
+                if (!placed.emplace(job, index).second) {
+                    broken("recorded_twice", fmt::format("{}/{}", job, index));
+                }
             }
         }
     }
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -15,6 +15,7 @@
 #include "sim/cloud_stand_in.hpp"
 #include "sim/state_stand_in.hpp"
 #include "sim/worker_stand_in.hpp"
+#include "state/keys.hpp"
 
 namespace dunebridge::sim {
 
@@ -36,6 +37,9 @@
     // A fleet of thousands: the limits of the state service and the cloud are enforced as a site
     // of that size has them, lists come in full pages, and the rules are looked at less often.
     bool fleet = false;
+    // Nodes begin as the version before (format 2), and the state service's limits are enforced.
+    bool old_version = false;
+    state::Limits limits;
 };
 
 class World : public WorkerHost {
@@ -83,6 +87,12 @@
     void machines_die(unsigned percent);
     void crash_node(std::size_t node, Millis down) { crash(node % nodes_.size(), down); }
     void crash_all(Millis down);
+    // Its process is killed and comes back with the newer version; one that dies before stays old.
+    void upgrade(std::size_t node, Millis down);
+    // The state service's limits fall to those that the settings name for later.
+    void lower_limits();
+    // The ledger holds the newer format for good.
+    bool new_format() const { return !state_.value(state::kFormatMark).empty(); }
     // The zone's machines and the node, cut off from everything; what was sent is held.
     void cut_zone(const std::string& region, std::size_t node, Millis span);
     struct Lost {
@@ -133,6 +143,7 @@
         Cut from_workers = Cut::none;
         Cut from_nodes = Cut::none;
         bool refused = false;  // by the state service alone
+        bool old_version = false;
         Instant cut_until{};
         Instant still_until{};  // it stands still, and its clock runs on
         std::map<RequestId, std::function<void(const core::Answer&)>> waiting;
