Job chains: waits_on, cancellation down the chain, deadlines that reach back

A submission may name jobs that must be done before it. What lets a job start is the committed end `done` of each (core/ledger_chains.cpp); until then it holds nothing and asks for no machine.

The highest priority and the latest end of what needs a job reach back over the graph and stand for its own in the ranking and at the line of priority; its other times count from when it could start.

--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -288,7 +288,9 @@
 
 // A committed end is true whoever says so: the leader halts the tasks on that word alone.
 void Core::withdrawn(const JobId& id) {
-    if (withdrawals_.add(id) && leads()) ledger_.withdraw(id, port_.wall_ms());
+    if (!withdrawals_.add(id) || !leads()) return;
+    ledger_.withdraw(id, port_.wall_ms());
+    ledger_.ended(id, wire::JobPhase::withdrawn);
 }
 
 // The leader is to know before the user does, so that nothing starts after it; if it does not
@@ -303,7 +305,10 @@
 void Core::apply_withdrawals() {
     if (withdrawals_applied_ == generation_) return;
     withdrawals_applied_ = generation_;
-    for (const auto& id : withdrawals_.kept().jobs) ledger_.withdraw(id, port_.wall_ms());
+    for (const auto& id : withdrawals_.kept().jobs) {
+        ledger_.withdraw(id, port_.wall_ms());
+        ledger_.ended(id, wire::JobPhase::withdrawn);
+    }
 }
 
 void Core::handle_ready(const Request& request) {
--- a/src/core/ledger.cpp
+++ b/src/core/ledger.cpp
@@ -28,6 +28,8 @@
     use_.clear();
     dirty_.clear();
     stored_.clear();
+    needed_by_.clear();
+    resolving_.clear();
     replacing_.clear();
     replaces_.clear();
     new_format_ = false;
@@ -44,12 +46,16 @@
     job.serial = ++next_serial_;
     // Time of day may differ between nodes; a job is never from the future.
     const auto age = std::max<std::int64_t>(0, port_.wall_ms() - submitted_ms);
-    job.submitted = port_.now() - Millis(age);
+    job.submitted = job.ready_at = port_.now() - Millis(age);
+    job.urgency = job.spec.urgency;
+    if (job.spec.due_s) job.end_by = job.submitted + from_seconds(*job.spec.due_s);
     job.tasks.resize(job.spec.shards);
     job.waiting.resize(job.spec.shards);
     for (std::uint32_t i = 0; i < job.spec.shards; ++i) job.waiting[i] = job.spec.shards - 1 - i;
     stored_.try_emplace(kJobs + it->first.get());
-    if (loaded_) cut(job);
+    if (!loaded_) return;
+    cut(job);
+    link(job);
 }
 
 // The record that a task is to be in, if it is in none yet.
--- a/src/core/ledger.hpp
+++ b/src/core/ledger.hpp
@@ -40,7 +40,7 @@
 
 enum class JobState : std::uint8_t {
     open,
-    ending,  // every task is done; the end is being committed
+    ending,  // every task is done, or a job that it needs is withdrawn; the end is being committed
     ended    // done or withdrawn: nothing of it may run
 };
 
@@ -74,12 +74,22 @@
     std::uint32_t running = 0;
     std::map<std::string, std::uint32_t> zones;  // placements by zone; "" where it is not known
 
+    // Chains. What it waits on and is not known to be done; while there is any, it holds nothing.
+    std::set<JobId> open_needs;
+    bool withdrawn_with = false;  // one of those is withdrawn, and this job ends with it
+    Instant ready_at{};  // when the last job that it needs was done; else when it was submitted
+    // What the jobs that need it ask of it: the highest priority, and the latest end.
+    wire::Urgency urgency = wire::Urgency::idle;
+    Instant end_by = Instant::max();
+
     Instant retry_at{};  // after errors and refusals
     Millis pause{0};
     std::set<HostName> failed_on;
 
     // Some task of it has been given a machine.
     bool begun() const { return done > 0 || placed > 0; }
+    // Nothing of it may start yet.
+    bool waits() const { return !open_needs.empty(); }
     Resources need() const { return {spec.cores, spec.accelerators, spec.ram_gb}; }
 };
 
@@ -198,6 +208,8 @@
 
     void add_job(wire::JobSpec spec, std::int64_t submitted_ms);
     void withdraw(const JobId& id, std::int64_t at_ms);
+    // The end is committed, and is this one: the jobs that wait for it go on, or end with it.
+    void ended(const JobId& id, wire::JobPhase how);
     // Every end that was committed before is known.
     Instant ends_read_at() const { return ends_read_at_; }
     Job* find_job(const JobId& id);
@@ -300,6 +312,14 @@
     void attach(Machine& machine, Job& job, std::uint32_t index, Placement placement);
     Machine& new_machine(const HostName& host);
 
+    // Chains (ledger_chains.cpp).
+    void link(Job& job);
+    void link_all();
+    void resolve(const JobId& id);
+    void withdraw_with(Job& job);
+    void reach_back(const Job& job);
+    static wire::JobPhase end_of(const Job& job);
+
     void load_jobs(const state::ListResult& rows);
     void load_progress(const state::ListResult& rows);
     void load_chunk(const state::Row& row);
@@ -325,6 +345,8 @@
     std::uint64_t next_attempt_ = 0;
     std::map<JobId, Job> jobs_;
     std::map<HostName, Machine> machines_;
+    std::unordered_map<JobId, std::vector<JobId>> needed_by_;  // open jobs, by what they wait on
+    std::set<JobId> resolving_;
     std::map<std::string, Group> groups_;
     std::set<std::string> open_claims_;
     std::vector<Machine*> wanting_;
--- /dev/null
+++ b/src/core/ledger_chains.cpp
@@ -0,0 +1,110 @@
+// Jobs that wait on others. What lets one start, or ends it, are committed ends alone.
+#include <algorithm>
+
+#include "core/ledger_records.hpp"
+
+namespace dunebridge::core {
+
+namespace {
+constexpr Millis kResolveAgain{500};
+constexpr Millis kResolveTimeout{1500};
+// What follows a job takes longer than its owner thinks, and its commands take time.
+constexpr double kEstimateDoubt = 1.5;
+constexpr Millis kBetween{2000};
+}  // namespace
+
+void Ledger::link(Job& job) {
+    if (job.spec.waits_on.empty() || job.state != JobState::open) return;
+    if (job.begun()) return;  // all that it needs was done when an earlier leader placed it
+    const auto id = job.spec.id;
+    for (const auto& need : job.spec.waits_on) {
+        job.open_needs.insert(need);
+        needed_by_[need].push_back(id);
+    }
+    reach_back(job);
+    for (const auto& need : job.spec.waits_on) {
+        const auto* other = find_job(need);
+        if (!other || other->state == JobState::ended) resolve(need);
+    }
+}
+
+void Ledger::link_all() {
+    for (auto& [id, job] : jobs_) link(job);
+}
+
+// A job that is not in the ledger, or how it ended is not known here: its end tells. It may not be
+// there yet, as what others write arrives in its own time.
+void Ledger::resolve(const JobId& id) {
+    if (!needed_by_.contains(id) || !resolving_.insert(id).second) return;
+    store_.get(kEnds + id.get(), kResolveTimeout,
+               [this, id, generation = generation_](const state::GetResult& result) {
+                   if (!current(generation)) return;
+                   resolving_.erase(id);
+                   if (result.answered && result.row) {
+                       const bool done =
+                           result.row->value["phase"].text() == name_of(wire::JobPhase::done);
+                       ended(id, done ? wire::JobPhase::done : wire::JobPhase::withdrawn);
+                       return;
+                   }
+                   const auto* job = find_job(id);
+                   if (result.answered && job && job->state != JobState::ended) return;
+                   port_.after(kResolveAgain, [this, id, generation] {
+                       if (current(generation)) resolve(id);
+                   });
+               });
+}
+
+void Ledger::ended(const JobId& id, wire::JobPhase how) {
+    std::vector<JobId> ends{id};
+    while (!ends.empty()) {
+        const auto one = ends.back();
+        ends.pop_back();
+        const auto it = needed_by_.find(one);
+        if (it == needed_by_.end()) continue;
+        const auto waiting = std::move(it->second);
+        needed_by_.erase(it);
+        for (const auto& next : waiting) {
+            Job* job = find_job(next);
+            if (!job || job->state != JobState::open) continue;
+            if (how == wire::JobPhase::withdrawn) {
+                withdraw_with(*job);
+                ends.push_back(next);
+            } else if (job->open_needs.erase(one) > 0 && job->open_needs.empty()) {
+                job->ready_at = port_.now();
+            }
+        }
+    }
+}
+
+// A job that it needs is withdrawn: it has begun nothing, and ends with it.
+void Ledger::withdraw_with(Job& job) {
+    job.state = JobState::ending;
+    job.withdrawn_with = true;
+    job.waiting.clear();
+    mark(kEnds + job.spec.id.get(), Pace::end);
+    port_.log(LogLevel::info, "event=withdrawn_with id={} term={}", job.spec.id.get(),
+              election_.term().get());
+}
+
+// Priority and latest end reach back over all that a job needs; only what improves goes on, so that
+// diamonds and wide fans cost no more than their edges.
+void Ledger::reach_back(const Job& from) {
+    std::vector<const Job*> reached{&from};
+    while (!reached.empty()) {
+        const auto& job = *reached.back();
+        reached.pop_back();
+        auto end_by = job.end_by;
+        if (end_by != Instant::max()) {
+            end_by -= from_seconds(job.spec.expected_s * kEstimateDoubt) + kBetween;
+        }
+        for (const auto& need : job.open_needs) {
+            Job* other = find_job(need);
+            if (!other || (other->urgency >= job.urgency && other->end_by <= end_by)) continue;
+            other->urgency = std::max(other->urgency, job.urgency);
+            other->end_by = std::min(other->end_by, end_by);
+            reached.push_back(other);
+        }
+    }
+}
+
+}  // namespace dunebridge::core
--- a/src/core/ledger_commit.cpp
+++ b/src/core/ledger_commit.cpp
@@ -102,6 +102,11 @@
     return {job, it == job->pieces.end() ? nullptr : &*it};
 }
 
+// How a job ends whose end this leader commits.
+wire::JobPhase Ledger::end_of(const Job& job) {
+    return job.withdrawn_with ? wire::JobPhase::withdrawn : wire::JobPhase::done;
+}
+
 std::optional<Ledger::Record> Ledger::value_of(const std::string& key) {
     if (key.starts_with(kProgress)) {
         const auto [job, piece] = piece_of(key);
@@ -118,7 +123,7 @@
         const auto* job = find_job(JobId(after(key, kEnds)));
         if (job) {
             Writer w;
-            w.map(3).text("phase").text(wire::name_of(wire::JobPhase::done));
+            w.map(3).text("phase").text(wire::name_of(end_of(*job)));
             w.text("shards").count(job->spec.shards);
             w.text("at").count(static_cast<std::uint64_t>(port_.wall_ms()));
             return Record{w.take(), w.json_size()};
@@ -433,7 +438,11 @@
     if (!job) return;
     job->state = JobState::ended;
     job->ended_at = port_.now();
-    port_.log(LogLevel::info, "event=job_done id={} term={}", id.get(), election_.term().get());
+    const auto how = end_of(*job);
+    if (how == wire::JobPhase::done) {
+        port_.log(LogLevel::info, "event=job_done id={} term={}", id.get(), election_.term().get());
+    }
+    ended(id, how);
 }
 
 void Ledger::conflict(const state::MultiResult& result) {
@@ -442,7 +451,9 @@
         if (!key.starts_with(kEnds)) continue;
         // The user's cancellation came first.
         explained = true;
-        withdraw(JobId(after(key, kEnds)), port_.wall_ms());
+        const JobId id(after(key, kEnds));
+        withdraw(id, port_.wall_ms());
+        resolve(id);
     }
     if (explained) return;
     // The leader key has changed. Standing again over the old revision fails if another leads.
--- a/src/core/ledger_load.cpp
+++ b/src/core/ledger_load.cpp
@@ -195,6 +195,7 @@
 void Ledger::check_ends(std::vector<JobId> ids, std::uint64_t generation) {
     if (ids.empty()) {
         loaded_ = true;
+        link_all();
         port_.log(LogLevel::info, "event=ledger_loaded term={} jobs={} machines={} claims={}",
                   election_.term().get(), jobs_.size(), machines_.size(), open_claims_.size());
         watch(kJobs, load_rev_, generation);
@@ -261,8 +262,10 @@
                       e.what());
         }
     } else if (change.key.starts_with(kEnds)) {
-        withdraw(JobId(after(change.key, kEnds)),
-                 static_cast<std::int64_t>(change.value["at"].count().value_or(0)));
+        const JobId id(after(change.key, kEnds));
+        withdraw(id, static_cast<std::int64_t>(change.value["at"].count().value_or(0)));
+        const bool done = change.value["phase"].text() == name_of(wire::JobPhase::done);
+        ended(id, done ? wire::JobPhase::done : wire::JobPhase::withdrawn);
     }
 }
 
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -380,7 +380,7 @@
         room[team.name] = team.cpus_max > 0 ? team.cpus_max - ledger_.use(team.name).cpus : 1e12;
     }
     for (const auto& [id, job] : ledger_.jobs()) {
-        if (job.state != JobState::open || job.waiting.empty()) continue;
+        if (job.state != JobState::open || job.waiting.empty() || job.waits()) continue;
         Demand d;
         d.need = job.need();
         d.spot_allowed = job.spec.reclaimable;
--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -105,10 +105,10 @@
     if (!any) return;
     std::vector<const Job*> open;
     for (const auto& [id, job] : ledger_.jobs()) {
-        if (job.state == JobState::open) open.push_back(&job);
+        if (job.state == JobState::open && !job.waits()) open.push_back(&job);
     }
     std::sort(open.begin(), open.end(), [](const Job* a, const Job* b) {
-        return std::tie(a->submitted, a->serial) < std::tie(b->submitted, b->serial);
+        return std::tie(a->ready_at, a->serial) < std::tie(b->ready_at, b->serial);
     });
     std::map<std::string_view, std::pair<const core::Team*, core::TeamUse>> sums;
     for (const auto& team : config_.teams) sums[team.name].first = &team;
@@ -126,10 +126,10 @@
 }
 
 Instant Scheduler::due(const Job& job) const {
-    double within = job.spec.due_s.value_or(kNoDeadline_s);
+    double within = kNoDeadline_s;
     const auto it = asked_.find(job.spec.jobclass);
     if (it != asked_.end()) within = std::min(within, it->second.finished_s.value_or(within));
-    return job.submitted + from_seconds(within);
+    return std::min(job.ready_at + from_seconds(within), job.end_by);
 }
 
 Instant Scheduler::start_by(const Entry& entry) const {
@@ -141,32 +141,30 @@
     // A start counts once the image is there; and the owner's estimate is often wrong by half.
     const double fetch = spec.size_gb / kFetchGuess_gb_per_s;
     const double run = std::max(fleet_.expected_s(*entry.job), spec.expected_s) * kEstimateDoubt;
-    auto latest = entry.job->submitted + from_seconds(std::max(0.0, within - fetch - kStop_s));
-    if (spec.due_s)
+    auto latest = entry.job->ready_at + from_seconds(std::max(0.0, within - fetch - kStop_s));
+    if (entry.job->end_by != Instant::max())
         latest = std::min(latest, due(*entry.job) - from_seconds(run + fetch + kStop_s));
     return latest;
 }
 
-bool Scheduler::high(const Job& job) const {
-    return job.spec.urgency >= config_.tuning.preempts_from;
-}
+bool Scheduler::high(const Job& job) const { return job.urgency >= config_.tuning.preempts_from; }
 
 std::vector<Scheduler::Entry> Scheduler::waiting_jobs() {
     std::vector<Entry> out;
     for (auto& [id, job] : ledger_.jobs()) {
-        if (job.state != JobState::open || job.waiting.empty()) continue;
+        if (job.state != JobState::open || job.waiting.empty() || job.waits()) continue;
         if (port_.now() < job.retry_at) {
             port_.wake_at(job.retry_at);
             continue;
         }
-        const bool aged = !job.begun() && port_.now() - job.submitted > kAged;
+        const bool aged = !job.begun() && port_.now() - job.ready_at > kAged;
         out.push_back({&job, false, aged, due(job), {}});
     }
     if (out.empty()) return out;
     mark_guaranteed(out);
     for (auto& e : out) {
         const int first = e.aged ? 0 : high(*e.job) || e.guaranteed ? 1 : 2;
-        e.rank = {first, -static_cast<int>(e.job->spec.urgency), e.due, e.job->serial};
+        e.rank = {first, -static_cast<int>(e.job->urgency), e.due, e.job->serial};
     }
     std::sort(out.begin(), out.end(),
               [](const Entry& a, const Entry& b) { return a.rank < b.rank; });
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -95,6 +95,22 @@
 
 }  // namespace
 
+std::vector<JobId> job_ids(Value v, const char* what) {
+    std::vector<JobId> out;
+    for (auto& id : text_list(v, what)) {
+        if (!valid_job_id(id)) invalid(what);
+        out.emplace_back(std::move(id));
+    }
+    std::sort(out.begin(), out.end());
+    out.erase(std::unique(out.begin(), out.end()), out.end());
+    return out;
+}
+
+void encode_job_ids(Writer& w, const std::vector<JobId>& ids) {
+    w.list(ids.size());
+    for (const auto& id : ids) w.text(id.get());
+}
+
 bool valid_job_id(std::string_view id) {
     // "req-" and digits; longer ids than any user sends would not fit a key.
     constexpr std::string_view prefix = "req-";
@@ -141,11 +157,12 @@
     job.snapshot_every_s = need_amount(body["snapshot_every_s"], "snapshot_every_s");
     job.snapshot_s = need_amount(body["snapshot_s"], "snapshot_s");
     if (!body["due_s"].is_null()) job.due_s = need_amount(body["due_s"], "due_s");
+    if (!body["waits_on"].is_null()) job.waits_on = job_ids(body["waits_on"], "waits_on");
     return job;
 }
 
 void encode_job(Writer& w, const JobSpec& job) {
-    w.map(20);
+    w.map(job.waits_on.empty() ? 20 : 21);
     w.text("name_id").text(job.id.get());
     w.text("jobclass").text(job.jobclass);
     w.text("owner").text(job.owner);
@@ -174,6 +191,9 @@
     w.text("snapshot_s").number(job.snapshot_s);
     w.text("due_s");
     job.due_s ? w.number(*job.due_s) : w.null();
+    if (job.waits_on.empty()) return;
+    w.text("waits_on");
+    encode_job_ids(w, job.waits_on);
 }
 
 std::string_view name_of(JobPhase phase) { return to_name(kJobPhases, phase); }
--- a/src/wire/messages.hpp
+++ b/src/wire/messages.hpp
@@ -36,11 +36,15 @@
     double snapshot_every_s = 0;
     double snapshot_s = 0;
     std::optional<double> due_s;
+    std::vector<JobId> waits_on;  // jobs that must be done before any of its tasks starts
 };
 
 // The id alone, if the body is a map with a valid one: a repeat is answered by its id.
 std::optional<JobId> peek_job_id(Value body);
 bool valid_job_id(std::string_view id);
+// A list of ids, each once. Throws DecodeError.
+std::vector<JobId> job_ids(Value list, const char* what);
+void encode_job_ids(Writer& w, const std::vector<JobId>& ids);
 // Throws DecodeError. Only `array` jobs occur today: other kinds are refused here.
 JobSpec decode_job(Value body);
 void encode_job(Writer& w, const JobSpec& job);
--- a/tests/sim/drawn.hpp
+++ b/tests/sim/drawn.hpp
@@ -14,6 +14,7 @@
     options.jobs = 24 + static_cast<int>(seed % 30);
     options.machines = 6 + seed % 12;
     if (seed % 3 == 0) options.task_s = 40;
+    if (seed % 4 == 1) options.pipelines = 8;
     return options;
 }
 
--- a/tests/sim/script.cpp
+++ b/tests/sim/script.cpp
@@ -142,6 +142,11 @@
     return p;
 }
 
+void Script::write(const std::string& key, const std::string& value) {
+    state_.handle("POST", "/multi", wire::encode_multi({}, {{key, value, std::nullopt}}),
+                  [](const HttpReply&) {});
+}
+
 bool Script::logged(const std::string& what) const {
     return std::any_of(logs_.begin(), logs_.end(),
                        [&](const auto& line) { return line.find(what) != std::string::npos; });
--- a/tests/sim/script.hpp
+++ b/tests/sim/script.hpp
@@ -13,6 +13,7 @@
 #include "sim/clock.hpp"
 #include "sim/cloud_stand_in.hpp"
 #include "sim/state_stand_in.hpp"
+#include "state/keys.hpp"
 
 namespace dunebridge::sim {
 
@@ -55,6 +56,8 @@
     std::vector<std::string> recorded_on(const JobId& id) const;
     bool leads() const { return core_->leads(); }
     StateStandIn& state() { return state_; }
+    // Another node writes the key.
+    void write(const std::string& key, const std::string& value);
 
     static const core::Config& config();
 
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -39,6 +39,10 @@
     bool fleet = false;
     // Nodes begin as the version before (format 2), and the state service's limits are enforced.
     bool old_version = false;
+    // Pipelines of four jobs: one, two that need it, and a last one with the deadline, which needs
+    // both; some begin with a job that has been there for long.
+    int pipelines = 0;
+    double pipelines_after_s = 0;
     state::Limits limits;
 };
 
@@ -160,6 +164,7 @@
         Instant final_told{};
         Instant began = Instant::max();
         std::set<std::uint32_t> completed;
+        bool chained = false;
         Instant could_start_since = Instant::max();
     };
 
@@ -189,6 +194,12 @@
     // Users.
     void make_users(int jobs);
     void make_flow();
+    void make_pipelines();
+    bool needs_accepted(const User& user) const;
+    // The first moment at which a user was told that a job before this one is cancelled.
+    Instant need_withdrawn_told(const JobId& id) const;
+    bool needs_done(const User& user) const;
+    bool need_abort_asked(const JobId& id) const;
     void plan_user(User& user);
     void submit(User& user);
     void poll(User& user);
