--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -1,6 +1,8 @@
 // The wire formats, against messages as the protocol page shows them.
 #include <gtest/gtest.h>
 
+#include <functional>
+
 #include "wire/messages.hpp"
 
 namespace dunebridge::wire {
@@ -56,6 +58,37 @@
     EXPECT_DOUBLE_EQ(job.due_s.value(), 900);
 }
 
+TEST(Codec, JobsThatASubmissionWaitsOn) {
+    JobSpec job = decode(submission({}));
+    const auto again = [&](const std::function<void(Writer&)>& list) {
+        Writer w;
+        job.waits_on = {JobId("req-000001")};  // the last field, replaced below
+        encode_job(w, job);
+        auto packed = w.take();
+        Writer one;
+        one.list(1).text("req-000001");
+        packed.resize(packed.size() - one.take().size());
+        Writer other;
+        list(other);
+        return decode(packed + other.take()).waits_on;
+    };
+    EXPECT_TRUE(job.waits_on.empty());  // absent
+    EXPECT_TRUE(again([](Writer& w) { w.null(); }).empty());
+    EXPECT_TRUE(again([](Writer& w) { w.list(0); }).empty());
+    const std::vector<JobId> two{JobId("req-000398"), JobId("req-000405")};
+    EXPECT_EQ(again([](Writer& w) {
+                  w.list(3).text("req-000405").text("req-000398").text("req-000405");
+              }),
+              two);
+    EXPECT_THROW(again([](Writer& w) { w.text("req-000398"); }), DecodeError);
+    EXPECT_THROW(again([](Writer& w) { w.list(1).text("job-1"); }), DecodeError);
+    EXPECT_THROW(again([](Writer& w) { w.list(1).count(7); }), DecodeError);
+    job.waits_on = two;
+    Writer w;
+    encode_job(w, job);
+    EXPECT_EQ(decode(w.take()).waits_on, two);
+}
+
 TEST(Codec, WholeNumbersMayBeIntegersAndNullsOmitted) {
     Fields f;
     f.cores_whole = true;
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -64,6 +64,22 @@
     EXPECT_DOUBLE_EQ(config.teams[0].cpus_max, 16);
 }
 
+TEST_F(Files, LimitsOfTheStateServiceToCome) {
+    const auto today = load_settings(write("today.toml", settings()), {}).state;
+    EXPECT_EQ(today.value_bytes(), 16u * 1024);
+    EXPECT_EQ(today.max_guards(), 192u);
+    const auto next = settings() + "[cluster.state.next]\nvalue_kb = 2\ntxn_ops = 16\nrps = 900\n";
+    const auto lower = load_settings(write("next.toml", next), {}).state;
+    EXPECT_EQ(lower.value_bytes(), 2u * 1024);
+    EXPECT_EQ(lower.value_bytes_now(false), 16u * 1024);
+    EXPECT_EQ(lower.value_bytes_now(true), 2u * 1024);
+    EXPECT_EQ(lower.txn_ops(), 16u);
+    EXPECT_DOUBLE_EQ(lower.rps(), 200);  // the smaller of the two
+    EXPECT_DOUBLE_EQ(lower.write_rps(), 80);
+    const auto bad = write("bad_next.toml", settings() + "[cluster.state.next]\nvalue_kb = 0\n");
+    EXPECT_NE(complaint(bad).find("cluster.state.next.value_kb"), std::string::npos);
+}
+
 TEST_F(Files, ComplaintsNameFileAndField) {
     const auto bad = write("bad.toml", settings("lease_s = \"long\""));
     EXPECT_NE(complaint(bad).find(bad + ": cluster.workers.lease_s"), std::string::npos);
--- a/tests/upgrade_test.cpp
+++ b/tests/upgrade_test.cpp
@@ -38,6 +38,122 @@
     EXPECT_GT(world.tasks_started(), 1000u);
 }
 
+// Written by the version in production (deploy/service.toml), for a job of three tasks: the first
+// is done, the others are on the machine.
+struct Row {
+    const char* key;
+    const char* hex;
+};
+const Row kProduction[] = {
+    {"job/req-000001",
+     "82a26174cf0000018bcfe577a5a473706563de0014a76e616d655f6964aa7265712d303030303031a86a6f62636c6"
+     "173"
+     "73a573686f7274a56f776e6572a466726565a76a6f626b696e64a56172726179a7757267656e6379a87374616e646"
+     "172"
+     "64a673686172647303a5636f72657301ac616363656c657261746f727300a672616d5f676201a662756e646c65a36"
+     "96d"
+     "67a773697a655f676201a6736861706573c0a6726567696f6ec0a8746f676574686572c2a56170617274c2ab72656"
+     "36c"
+     "61696d61626c65c3aa65787065637465645f730ab0736e617073686f745f65766572795f7300aa736e617073686f7"
+     "45f"
+     "7300a56475655f73c0"},
+    {"prog/req-000001/0",
+     "86a17602a466726f6d00a4646f6e65a131a8736869656c646564a0a462617365ce10000002a57461736b739195a97"
+     "66d"
+     "2d30303030303001000201"},
+    {"rent/1-1",
+     "87a17602a5636c61696da3312d31a57368617065a3626967a6726567696f6ea161ab7265636c61696d61626c65c3a"
+     "868"
+     "6f775f6d616e7901a5686f73747391a9766d2d303030303030"},
+};
+
+std::string bytes(const std::string& hex) {
+    std::string out;
+    for (std::size_t i = 0; i < hex.size(); i += 2) {
+        out += static_cast<char>(std::stoi(hex.substr(i, 2), nullptr, 16));
+    }
+    return out;
+}
+
+core::Config with_a_peer_unheard() {
+    auto config = Script::config();
+    config.known.push_back({NodeName("node-1"), "a", "node-1"});
+    return config;
+}
+
+wire::JobSpec three_tasks() {
+    wire::JobSpec j;
+    j.id = JobId("req-000001");
+    j.jobclass = "short";
+    j.owner = "free";
+    j.shards = 3;
+    j.cores = j.ram_gb = j.size_gb = 1;
+    j.bundle = "img";
+    j.expected_s = 10;
+    j.reclaimable = true;
+    return j;
+}
+
+// The job's tasks begin on a machine, and the first of them ends.
+void run_three_tasks(Script& script) {
+    script.run(Millis(3000));
+    ASSERT_EQ(script.submit(three_tasks()), 201);
+    auto w = script.machine(0);
+    w.report.epoch = script.checkin(w.next()).second.epoch;
+    script.run(Millis(500));
+    script.checkin(w.next());
+    script.run(Millis(300));
+    ASSERT_EQ(script.directs().size(), 1u);
+    for (const auto& order : script.directs()[0].commands.orders) {
+        wire::TaskReport t;
+        t.task = order.task;
+        t.attempt = order.attempt;
+        t.phase = order.task.index == 0 ? wire::TaskPhase::exited : wire::TaskPhase::running;
+        if (order.task.index == 0) t.reason = wire::ExitReason::done;
+        w.report.tasks.push_back(t);
+    }
+    script.answer(script.directs()[0], 200, w.next());
+    script.run(Millis(3000));
+}
+
+// Until the switch, what the new version writes is what production writes, to the letter; so is
+// what the simulation's old nodes write.
+TEST(ProductionFormat, IsWrittenUntilTheSwitch) {
+    for (const std::uint64_t format : {2, 3}) {
+        auto config = with_a_peer_unheard();
+        config.format = format;
+        Script script(1, config);
+        run_three_tasks(script);
+        for (const auto& [key, hex] : kProduction) {
+            if (std::string(key).starts_with("job/")) continue;  // it holds the time of day
+            EXPECT_EQ(script.state().value(key), bytes(hex)) << key << " format " << format;
+        }
+    }
+}
+
+TEST(ProductionFormat, IsRead) {
+    Script script(1);
+    for (const auto& [key, hex] : kProduction) script.write(key, bytes(hex));
+    script.run(Millis(6000));
+    ASSERT_TRUE(script.leads());
+    EXPECT_EQ(script.recorded_on(JobId("req-000001")), std::vector<std::string>{"vm-000000"});
+    const auto answer = script.ask("GET", "/v1/jobs/req-000001", {});
+    const auto doc = wire::Document::parse(answer.body);
+    EXPECT_EQ(doc->root()["done"].count(), 1u);
+}
+
+// After the switch the older version does not act on what it would misread.
+TEST(ProductionFormat, TheOlderVersionStopsAtTheMark) {
+    auto config = Script::config();
+    config.format = 2;
+    Script script(1, config);
+    script.write(state::kFormatMark, wire::Writer().map(1).text("v").count(3).take());
+    for (const auto& [key, hex] : kProduction) script.write(key, bytes(hex));
+    script.run(Millis(8000));
+    EXPECT_FALSE(script.leads());
+    EXPECT_TRUE(script.logged("event=bad_record key=rent/!format"));
+}
+
 class Upgrade : public testing::TestWithParam<std::uint64_t> {};
 
 // Processes are replaced one after the other while leaders come and go and jobs are cancelled; the
