--- a/tests/chains_test.cpp
+++ b/tests/chains_test.cpp
@@ -15,16 +15,7 @@
 }
 
 wire::JobSpec job(int n, std::vector<JobId> needs = {}) {
-    wire::JobSpec s;
-    s.id = JobId(fmt::format("req-{:06}", n));
-    s.jobclass = "short";
-    s.owner = "free";
-    s.cores = 1;
-    s.ram_gb = 1;
-    s.bundle = "img";
-    s.size_gb = 1;
-    s.expected_s = 10;
-    s.reclaimable = true;
+    auto s = sim::job(n);
     s.waits_on = std::move(needs);
     return s;
 }
--- a/tests/scripted_test.cpp
+++ b/tests/scripted_test.cpp
@@ -11,21 +11,6 @@
 using wire::Verb;
 using Hosts = std::vector<std::string>;
 
-wire::JobSpec job(int n, std::uint32_t shards = 1) {
-    wire::JobSpec s;
-    s.id = JobId(fmt::format("req-{:06}", n));
-    s.jobclass = "short";
-    s.owner = "free";
-    s.shards = shards;
-    s.cores = 1;
-    s.ram_gb = 1;
-    s.bundle = "img";
-    s.size_gb = 1;
-    s.expected_s = 10;
-    s.reclaimable = true;
-    return s;
-}
-
 const wire::Order* find(const wire::Commands& commands, Verb verb, const TaskRef& task) {
     for (const auto& o : commands.orders) {
         if (o.verb == verb && o.task == task) return &o;
--- a/tests/sim/script.cpp
+++ b/tests/sim/script.cpp
@@ -12,6 +12,21 @@
 constexpr std::int64_t kWallStart = 1700000000000;
 }  // namespace
 
+wire::JobSpec job(int n, std::uint32_t shards) {
+    wire::JobSpec s;
+    s.id = JobId(fmt::format("req-{:06}", n));
+    s.jobclass = "short";
+    s.owner = "free";
+    s.shards = shards;
+    s.cores = 1;
+    s.ram_gb = 1;
+    s.bundle = "img";
+    s.size_gb = 1;
+    s.expected_s = 10;
+    s.reclaimable = true;
+    return s;
+}
+
 std::string Played::next() {
     ++report.order.tick;
     return wire::encode(report);
--- a/tests/sim/script.hpp
+++ b/tests/sim/script.hpp
@@ -17,6 +17,9 @@
 
 namespace dunebridge::sim {
 
+// A small job of the team that has no limit.
+wire::JobSpec job(int n, std::uint32_t shards = 1);
+
 // A worker as the test plays it: what its next report says.
 struct Played {
     wire::Report report;
--- a/tests/upgrade_test.cpp
+++ b/tests/upgrade_test.cpp
@@ -81,23 +81,10 @@
     return config;
 }
 
-wire::JobSpec three_tasks() {
-    wire::JobSpec j;
-    j.id = JobId("req-000001");
-    j.jobclass = "short";
-    j.owner = "free";
-    j.shards = 3;
-    j.cores = j.ram_gb = j.size_gb = 1;
-    j.bundle = "img";
-    j.expected_s = 10;
-    j.reclaimable = true;
-    return j;
-}
-
 // The job's tasks begin on a machine, and the first of them ends.
 void run_three_tasks(Script& script) {
     script.run(Millis(3000));
-    ASSERT_EQ(script.submit(three_tasks()), 201);
+    ASSERT_EQ(script.submit(job(1, 3)), 201);
     auto w = script.machine(0);
     w.report.epoch = script.checkin(w.next()).second.epoch;
     script.run(Millis(500));
