--- a/tests/decisions_test.cpp
+++ b/tests/decisions_test.cpp
@@ -112,6 +112,17 @@
     EXPECT_EQ(fleet::plan(in).give_back, (std::vector<std::size_t>{1}));
 }
 
+// What waits keeps no machine that none of it can use, also while others are being rented for it.
+TEST(Sizing, IdleMachinesThatNothingWaitingCanUseGoBack) {
+    auto in = input();
+    in.idle_return_s = 10;
+    in.machines = {{{"small", "a", true}, 4, 50, true}, {{"big", "a", true}, 32, 50, true}};
+    in.demand = {demand(100, 20, 100)};
+    EXPECT_EQ(fleet::plan(in).give_back, (std::vector<std::size_t>{0}));
+    in.load_cores = 1e6;  // more than what there is and what is being rented
+    EXPECT_TRUE(fleet::plan(in).give_back.empty());
+}
+
 TEST(Budget, RefillsWithTimeAndPaysOffLargeRequests) {
     state::Budget budget(10);
     Instant now(Millis(1000));
--- a/tests/scripted_test.cpp
+++ b/tests/scripted_test.cpp
@@ -1,6 +1,8 @@
 // What must not happen between two messages: each test plays the workers by hand.
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 #include "sim/script.hpp"
 
 namespace dunebridge::sim {
@@ -436,6 +438,109 @@
     EXPECT_EQ(s.state().violations(), 0u);
 }
 
+// The workers obey, and report every second; tasks run until the test ends them.
+void obey(Played& w, const std::vector<wire::Order>& orders) {
+    for (const auto& o : orders) {
+        std::erase_if(w.report.tasks, [&](const auto& t) { return t.task == o.task; });
+        if (o.verb == Verb::start) w.report.tasks.push_back(running(o));
+    }
+}
+
+void play(Script& s, const std::vector<Played*>& workers, int seconds) {
+    for (int i = 0; i < seconds; ++i) {
+        for (auto* w : workers) {
+            while (true) {
+                const auto& all = s.directs();
+                const auto it = std::find_if(all.begin(), all.end(), [&](const auto& d) {
+                    return d.endpoint == w->report.endpoint;
+                });
+                if (it == all.end()) break;
+                const auto direct = *it;
+                w->report.epoch = std::max(w->report.epoch, direct.commands.epoch);
+                obey(*w, direct.commands.orders);
+                s.answer(direct, 200, w->next());
+                s.run(Millis(40));
+            }
+            const auto reply = s.checkin(w->next()).second;
+            w->report.epoch = std::max(w->report.epoch, reply.epoch);
+            obey(*w, reply.orders);
+        }
+        s.run(Millis(1000));
+    }
+}
+
+void end_task(Played& w, const JobId& id) {
+    for (auto& t : w.report.tasks) {
+        if (t.task.job != id) continue;
+        t.phase = TaskPhase::exited;
+        t.reason = ExitReason::done;
+    }
+}
+
+// docs/incidents/0009: a machine kept for an aged job, whose team is at its limit by then, is open
+// to others.
+TEST(Scripted, NothingIsKeptForAJobWhoseTeamIsAtItsLimit) {
+    auto config = Script::config();
+    config.teams.push_back({"few", 0, 0, 4, 0});
+    Script s(2, config);
+    s.run(Millis(3000));
+    auto full = job(1);
+    full.cores = 16;
+    full.reclaimable = false;
+    ASSERT_EQ(s.submit(full), 201);
+    auto ordinary = s.machine(0);
+    greet(s, ordinary);
+    play(s, {&ordinary}, 3);
+    ASSERT_EQ(s.submit(job(2)), 201);
+    auto spot = s.machine(1);
+    ASSERT_TRUE(spot.report.reclaimable);
+    greet(s, spot);
+    auto aged = job(3);
+    aged.owner = "few";
+    aged.cores = 4;
+    aged.reclaimable = false;
+    ASSERT_EQ(s.submit(aged), 201);
+    play(s, {&ordinary, &spot}, 95);
+    auto other = job(4);
+    other.owner = "few";
+    ASSERT_EQ(s.submit(other), 201);
+    play(s, {&ordinary, &spot}, 3);
+    ASSERT_EQ(s.recorded_on(other.id), Hosts{spot.report.host.get()});
+    end_task(ordinary, full.id);
+    auto waiting = job(5);
+    waiting.reclaimable = false;
+    ASSERT_EQ(s.submit(waiting), 201);
+    play(s, {&ordinary, &spot}, 5);
+    EXPECT_EQ(s.recorded_on(waiting.id), Hosts{ordinary.report.host.get()});
+    EXPECT_EQ(s.recorded_on(aged.id), Hosts{});
+}
+
+// Nor is it kept for so long that others which would fit wait for 90 s.
+TEST(Scripted, AMachineIsKeptForALimitedTime) {
+    Script s(1);
+    s.run(Millis(3000));
+    auto large = job(1);
+    large.cores = 14;
+    auto small = job(2);
+    small.cores = 2;
+    ASSERT_EQ(s.submit(large), 201);
+    ASSERT_EQ(s.submit(small), 201);
+    auto w = s.machine(0);
+    greet(s, w);
+    play(s, {&w}, 3);
+    auto aged = job(3);
+    aged.cores = 4;
+    ASSERT_EQ(s.submit(aged), 201);
+    play(s, {&w}, 95);
+    end_task(w, small.id);
+    auto fits = job(4);
+    ASSERT_EQ(s.submit(fits), 201);
+    play(s, {&w}, 5);
+    EXPECT_EQ(s.recorded_on(fits.id), Hosts{});  // kept for the aged job
+    play(s, {&w}, 70);
+    EXPECT_EQ(s.recorded_on(fits.id), Hosts{w.report.host.get()});
+}
+
 // A record that this version cannot read must not be passed over: the job in it would be lost.
 TEST(Scripted, ARecordOfAnUnknownVersionStopsTheLoad) {
     Script s(1);
