--- a/tests/scripted_test.cpp
+++ b/tests/scripted_test.cpp
@@ -20,22 +20,6 @@
     return nullptr;
 }
 
-wire::TaskReport running(const wire::Order& order) {
-    wire::TaskReport t;
-    t.task = order.task;
-    t.attempt = order.attempt;
-    t.phase = TaskPhase::running;
-    return t;
-}
-
-// The worker's first reports, after which it has seen the leader's epoch.
-void greet(Script& s, Played& w) {
-    w.report.epoch = s.checkin(w.next()).second.epoch;
-    s.run(Millis(500));
-    s.checkin(w.next());
-    s.run(Millis(300));
-}
-
 // A controller that leads, and its first machine, for which the job waits.
 Played machine_for(Script& s, const wire::JobSpec& job) {
     s.run(Millis(3000));
@@ -438,45 +422,6 @@
     EXPECT_EQ(s.state().violations(), 0u);
 }
 
-// The workers obey, and report every second; tasks run until the test ends them.
-void obey(Played& w, const std::vector<wire::Order>& orders) {
-    for (const auto& o : orders) {
-        std::erase_if(w.report.tasks, [&](const auto& t) { return t.task == o.task; });
-        if (o.verb == Verb::start) w.report.tasks.push_back(running(o));
-    }
-}
-
-void play(Script& s, const std::vector<Played*>& workers, int seconds) {
-    for (int i = 0; i < seconds; ++i) {
-        for (auto* w : workers) {
-            while (true) {
-                const auto& all = s.directs();
-                const auto it = std::find_if(all.begin(), all.end(), [&](const auto& d) {
-                    return d.endpoint == w->report.endpoint;
-                });
-                if (it == all.end()) break;
-                const auto direct = *it;
-                w->report.epoch = std::max(w->report.epoch, direct.commands.epoch);
-                obey(*w, direct.commands.orders);
-                s.answer(direct, 200, w->next());
-                s.run(Millis(40));
-            }
-            const auto reply = s.checkin(w->next()).second;
-            w->report.epoch = std::max(w->report.epoch, reply.epoch);
-            obey(*w, reply.orders);
-        }
-        s.run(Millis(1000));
-    }
-}
-
-void end_task(Played& w, const JobId& id) {
-    for (auto& t : w.report.tasks) {
-        if (t.task.job != id) continue;
-        t.phase = TaskPhase::exited;
-        t.reason = ExitReason::done;
-    }
-}
-
 // docs/incidents/0009: a machine kept for an aged job, whose team is at its limit by then, is open
 // to others.
 TEST(Scripted, NothingIsKeptForAJobWhoseTeamIsAtItsLimit) {
--- a/tests/sim/script.cpp
+++ b/tests/sim/script.cpp
@@ -27,6 +27,59 @@
     return s;
 }
 
+wire::TaskReport running(const wire::Order& order) {
+    wire::TaskReport t;
+    t.task = order.task;
+    t.attempt = order.attempt;
+    t.phase = wire::TaskPhase::running;
+    return t;
+}
+
+void greet(Script& s, Played& w) {
+    w.report.epoch = s.checkin(w.next()).second.epoch;
+    s.run(Millis(500));
+    s.checkin(w.next());
+    s.run(Millis(300));
+}
+
+static void obey(Played& w, const std::vector<wire::Order>& orders) {
+    for (const auto& o : orders) {
+        std::erase_if(w.report.tasks, [&](const auto& t) { return t.task == o.task; });
+        if (o.verb == wire::Verb::start) w.report.tasks.push_back(running(o));
+    }
+}
+
+void play(Script& s, const std::vector<Played*>& workers, int seconds) {
+    for (int i = 0; i < seconds; ++i) {
+        for (auto* w : workers) {
+            while (true) {
+                const auto& all = s.directs();
+                const auto it = std::find_if(all.begin(), all.end(), [&](const auto& d) {
+                    return d.endpoint == w->report.endpoint;
+                });
+                if (it == all.end()) break;
+                const auto direct = *it;
+                w->report.epoch = std::max(w->report.epoch, direct.commands.epoch);
+                obey(*w, direct.commands.orders);
+                s.answer(direct, 200, w->next());
+                s.run(Millis(40));
+            }
+            const auto reply = s.checkin(w->next()).second;
+            w->report.epoch = std::max(w->report.epoch, reply.epoch);
+            obey(*w, reply.orders);
+        }
+        s.run(Millis(1000));
+    }
+}
+
+void end_task(Played& w, const JobId& id) {
+    for (auto& t : w.report.tasks) {
+        if (t.task.job != id) continue;
+        t.phase = wire::TaskPhase::exited;
+        t.reason = wire::ExitReason::done;
+    }
+}
+
 std::string Played::next() {
     ++report.order.tick;
     return wire::encode(report);
--- a/tests/sim/script.hpp
+++ b/tests/sim/script.hpp
@@ -83,4 +83,11 @@
     std::vector<std::string> logs_;
 };
 
+wire::TaskReport running(const wire::Order& order);
+// The worker's first reports, after which it has seen the leader's epoch.
+void greet(Script& s, Played& w);
+// The workers obey, and report every second; tasks run until the test ends them.
+void play(Script& s, const std::vector<Played*>& workers, int seconds);
+void end_task(Played& w, const JobId& id);
+
 }  // namespace dunebridge::sim
--- a/tests/upgrade_test.cpp
+++ b/tests/upgrade_test.cpp
@@ -141,6 +141,28 @@
     EXPECT_TRUE(script.logged("event=bad_record key=rent/!format"));
 }
 
+// What no longer fits a record is put off, and the rest of the job goes on.
+TEST(LimitsBeforeTheSwitch, AJobRunsAsManyTasksAsCanBeRecorded) {
+    auto config = with_a_peer_unheard();
+    config.state = state::Limits({200, 80, 16, 48}, state::Limits::Set{200, 80, 1, 16});
+    Script script(1, config);
+    script.run(Millis(3000));
+    auto large = job(1, 256);
+    large.cores = large.ram_gb = 0.05;
+    ASSERT_EQ(script.submit(large), 201);
+    script.state().set_limits({200, 80, 16, 1024, 20});
+    auto w = script.machine(0);
+    greet(script, w);
+    play(script, {&w}, 12);
+    const auto first = w.report.tasks.size();
+    EXPECT_GT(first, 20u);
+    EXPECT_LT(first, 256u);
+    end_task(w, large.id);
+    play(script, {&w}, 12);
+    EXPECT_GT(w.report.tasks.size(), 20u);  // others have taken their place
+    EXPECT_LE(script.state().violations(), 2u);
+}
+
 class Upgrade : public testing::TestWithParam<std::uint64_t> {};
 
 // Processes are replaced one after the other while leaders come and go and jobs are cancelled; the
