An end that has left the log is not news again: logs of two nodes no longer keep it going round

Found by reading: each node forgot an end when its log dropped it, and took it for news from a peer that had learnt it later, and so on in turn. Withdrawals.DoNotGoRoundBetweenNodes fails without the change. The limits to come are read without an optional (a compiler's warning).

--- a/src/app/settings.cpp
+++ b/src/app/settings.cpp
@@ -119,7 +119,7 @@
                                    service.number("write_rps", 1, 1e7),
                                    service.number("value_kb", 1, 1e6),
                                    static_cast<std::size_t>(service.number("txn_ops", 4, 1e6))};
-    std::optional<state::Limits::Set> next;
+    auto next = today;
     if (service.has("next")) {
         const auto n = service.sub("next");
         next = {n.number_or("rps", today.rps, 1, 1e7),
--- a/src/cluster/withdrawals.cpp
+++ b/src/cluster/withdrawals.cpp
@@ -6,6 +6,7 @@
 // Whoever misses what is dropped for room finds a gap in the numbers, and must read the state
 // service.
 constexpr std::size_t kMostKept = 400;
+constexpr Millis kForgetEvery{5000};
 }  // namespace
 
 Withdrawals::Withdrawals(core::Port& port, const core::Config& config)
@@ -14,7 +15,7 @@
 }
 
 bool Withdrawals::add(const JobId& id) {
-    if (!known_.insert(id).second) return false;
+    if (!known_.try_emplace(id, port_.now()).second) return false;
     part_.jobs.push_back(id);
     since_.push_back(port_.now());
     return true;
@@ -22,12 +23,16 @@
 
 const WithdrawalsPart& Withdrawals::kept() {
     std::size_t over = part_.jobs.size() > kMostKept ? part_.jobs.size() - kMostKept : 0;
-    while (over < since_.size() && port_.now() - since_[over] > config_.cancel * 3 / 2) ++over;
+    const auto keep = config_.cancel * 3 / 2;
+    while (over < since_.size() && port_.now() - since_[over] > keep) ++over;
     const auto end = static_cast<std::ptrdiff_t>(over);
-    for (std::size_t i = 0; i < over; ++i) known_.erase(part_.jobs[i]);
     part_.jobs.erase(part_.jobs.begin(), part_.jobs.begin() + end);
     since_.erase(since_.begin(), since_.begin() + end);
     part_.first += over;
+    if (port_.now() >= next_forget_) {
+        next_forget_ = port_.now() + kForgetEvery;
+        std::erase_if(known_, [&](const auto& k) { return port_.now() - k.second > 2 * keep; });
+    }
     return part_;
 }
 
--- a/src/cluster/withdrawals.hpp
+++ b/src/cluster/withdrawals.hpp
@@ -8,7 +8,7 @@
 
 #include <cstdint>
 #include <deque>
-#include <set>
+#include <map>
 #include <vector>
 
 #include "base/types.hpp"
@@ -40,7 +40,10 @@
     const core::Config& config_;
     WithdrawalsPart part_;
     std::deque<Instant> since_;  // of each job in part_
-    std::set<JobId> known_;      // the jobs in part_
+    // When each was learnt. Kept for longer than the log, as peers' logs drop theirs later: they
+    // must not be news again here, and then there, for ever.
+    std::map<JobId, Instant> known_;
+    Instant next_forget_{};
 };
 
 }  // namespace dunebridge::cluster
--- a/src/state/limits.hpp
+++ b/src/state/limits.hpp
@@ -3,7 +3,6 @@
 
 #include <algorithm>
 #include <cstddef>
-#include <optional>
 
 namespace dunebridge::state {
 
@@ -20,8 +19,8 @@
     };
 
     Limits() = default;
-    explicit Limits(const Set& today, const std::optional<Set>& next = std::nullopt)
-        : today_(today), next_(next.value_or(today)) {}
+    explicit Limits(const Set& today) : Limits(today, today) {}
+    Limits(const Set& today, const Set& next) : today_(today), next_(next) {}
 
     double rps() const { return std::min(today_.rps, next_.rps); }
     double write_rps() const { return std::min(today_.write_rps, next_.write_rps); }
--- a/tests/decisions_test.cpp
+++ b/tests/decisions_test.cpp
@@ -1,6 +1,7 @@
 // The pure decisions: best fit, promised room, fleet size, budgets.
 #include <gtest/gtest.h>
 
+#include "cluster/withdrawals.hpp"
 #include "fleet/sizing.hpp"
 #include "scheduler/placement.hpp"
 #include "state/store.hpp"
@@ -123,6 +124,32 @@
     EXPECT_TRUE(fleet::plan(in).give_back.empty());
 }
 
+// Two nodes that hear each other's log, one a little later, must not keep an end in it for ever.
+TEST(Withdrawals, DoNotGoRoundBetweenNodes) {
+    core::Config config;
+    config.cancel = Millis(20000);
+    core::Port ports[2]{{1, core::LogLevel::info}, {2, core::LogLevel::info}};
+    cluster::Withdrawals logs[2]{{ports[0], config}, {ports[1], config}};
+    Instant now(Millis(1000));
+    ports[0].set_time(now, 0);
+    EXPECT_TRUE(logs[0].add(JobId("req-1")));
+    EXPECT_FALSE(logs[0].add(JobId("req-1")));
+    now += Millis(5000);
+    for (int step = 0; step < 300; ++step) {
+        now += Millis(700);
+        const auto from = static_cast<std::size_t>(step % 2);
+        for (auto& port : ports) port.set_time(now, 0);
+        for (const auto& id : logs[from].kept().jobs) logs[1 - from].add(id);
+        if (step == 2) {
+            EXPECT_EQ(logs[1].kept().jobs.size(), 1u);
+        }
+    }
+    for (auto& log : logs) {
+        EXPECT_TRUE(log.kept().jobs.empty());
+        EXPECT_EQ(log.kept().first, 2u);  // logged once
+    }
+}
+
 TEST(Budget, RefillsWithTimeAndPaysOffLargeRequests) {
     state::Budget budget(10);
     Instant now(Millis(1000));
