--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -225,6 +225,9 @@
     world.run();
     EXPECT_TRUE(world.broken_rules().empty()) << all(world);
     EXPECT_EQ(world.jobs_left(), 0u) << world.describe_left();
+    // The leader hears of a cancellation before the user does, or does not reach the machines
+    // either.
+    EXPECT_EQ(world.starts_after_cancellation(), 0u);
     EXPECT_GT(world.tasks_started(), 0u);
 }
 INSTANTIATE_TEST_SUITE_P(Named, Meetings,
