--- a/tests/chains_test.cpp
+++ b/tests/chains_test.cpp
@@ -3,17 +3,12 @@
 #include <gtest/gtest.h>
 
 #include "sim/drawn.hpp"
+#include "sim/expect.hpp"
 #include "sim/script.hpp"
 
 namespace dunebridge::sim {
 namespace {
 
-std::string all(const World& w) {
-    std::string out;
-    for (const auto& line : w.broken_rules()) out += line + "\n";
-    return out;
-}
-
 wire::JobSpec job(int n, std::vector<JobId> needs = {}) {
     auto s = sim::job(n);
     s.waits_on = std::move(needs);
@@ -97,9 +92,7 @@
     options.pipelines = 12;
     World world(options);
     run_drawn(world, GetParam());
-    EXPECT_TRUE(world.broken_rules().empty()) << all(world);
-    EXPECT_EQ(world.jobs_left(), 0u) << world.describe_left();
-    EXPECT_GT(world.tasks_started(), 0u);
+    expect_over(world);
 }
 INSTANTIATE_TEST_SUITE_P(Seeds, Chained, testing::Range<std::uint64_t>(8000, 8016));
 
--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -6,6 +6,7 @@
 #include <ostream>
 
 #include "sim/drawn.hpp"
+#include "sim/expect.hpp"
 #include "sim/world.hpp"
 
 namespace dunebridge::sim {
@@ -205,12 +206,6 @@
 
 class Meetings : public testing::TestWithParam<std::tuple<Meeting, std::uint64_t>> {};
 
-std::string all(const World& w) {
-    std::string out;
-    for (const auto& line : w.broken_rules()) out += line + "\n";
-    return out;
-}
-
 TEST_P(Meetings, RulesHoldAndJobsEnd) {
     const auto& [meeting, seed] = GetParam();
     Options options;
@@ -223,12 +218,10 @@
     world.run_for(s(45));
     meeting.bring_about(world);
     world.run();
-    EXPECT_TRUE(world.broken_rules().empty()) << all(world);
-    EXPECT_EQ(world.jobs_left(), 0u) << world.describe_left();
+    expect_over(world);
     // The leader hears of a cancellation before the user does, or does not reach the machines
     // either.
     EXPECT_EQ(world.starts_after_cancellation(), 0u);
-    EXPECT_GT(world.tasks_started(), 0u);
 }
 INSTANTIATE_TEST_SUITE_P(Named, Meetings,
                          testing::Combine(testing::ValuesIn(kMeetings),
@@ -244,9 +237,7 @@
 TEST_P(Drawn, RulesHoldAndJobsEnd) {
     World world(drawn_options(GetParam()));
     run_drawn(world, GetParam());
-    EXPECT_TRUE(world.broken_rules().empty()) << all(world);
-    EXPECT_EQ(world.jobs_left(), 0u) << world.describe_left();
-    EXPECT_GT(world.tasks_started(), 0u);
+    expect_over(world);
 }
 INSTANTIATE_TEST_SUITE_P(Seeds, Drawn, testing::Range<std::uint64_t>(7000, 7024));
 
--- a/tests/sim/troubles.cpp
+++ b/tests/sim/troubles.cpp
@@ -65,18 +65,8 @@
     clock_.after(Millis(1500), [this, &user] { abort(user); });
     wire::Writer w;
     wire::encode_job(w, user.spec);
-    const auto ask = [this, &user, any](const std::string& method, const std::string& target,
-                                        const std::string& body) {
-        request(any(), Plane::front, method, target, body,
-                [this, &user, asked = clock_.now()](const Answer& a) {
-                    if (a.status == 404 || a.status == 400 || a.status == 422) {
-                        broken("forgotten", user.spec.id.get() + " (at its end)");
-                    }
-                    if (a.status == 200 && asked >= user.final_told) told(user, a);
-                });
-    };
-    ask("GET", "/v1/jobs/" + user.spec.id.get(), {});
-    ask("POST", "/v1/jobs", w.take());
+    ask_again(user, any(), "GET", "/v1/jobs/" + user.spec.id.get(), {}, "at its end");
+    ask_again(user, any(), "POST", "/v1/jobs", w.take(), "at its end");
 }
 
 void World::odd_requests(Millis span) {
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -567,16 +567,23 @@
     if (harsh_rng_() % 4 != 0) return;
     clock_.after(Millis(static_cast<std::int64_t>(harsh_rng_() % 60000)),
                  [this, &user, target, body] {
-                     request(harsh_rng_() % nodes_.size(), Plane::front, "POST", target, body,
-                             [this, &user, asked = clock_.now()](const Answer& a) {
-                                 if (a.status == 404 || a.status == 400 || a.status == 422) {
-                                     broken("forgotten", user.spec.id.get() + " (repeat)");
-                                 }
-                                 if (a.status == 200 && asked >= user.final_told) told(user, a);
-                             });
+                     ask_again(user, harsh_rng_() % nodes_.size(), "POST", target, body, "repeat");
                  });
 }
 
+// Whatever is asked about an accepted job, it is known; an answer that was under way while the user
+// was told of the end may be the older one.
+void World::ask_again(User& user, std::size_t node, const std::string& method,
+                      const std::string& target, const std::string& body, const char* when) {
+    request(node, Plane::front, method, target, body,
+            [this, &user, when, asked = clock_.now()](const Answer& a) {
+                if (a.status == 404 || a.status == 400 || a.status == 422) {
+                    broken("forgotten", fmt::format("{} ({})", user.spec.id.get(), when));
+                }
+                if (a.status == 200 && asked >= user.final_told) told(user, a);
+            });
+}
+
 void World::poll(User& user) {
     // Also after the end: what was told must stay so, at every node.
     request(rng_() % nodes_.size(), Plane::front, "GET", "/v1/jobs/" + user.spec.id.get(), {},
@@ -871,6 +878,12 @@
     }
 }
 
+std::string World::describe_broken() const {
+    std::string out;
+    for (const auto& line : broken_) out += line + "\n";
+    return out;
+}
+
 std::size_t World::jobs_left() const {
     return static_cast<std::size_t>(
         std::count_if(users_.begin(), users_.end(), [](const auto& u) { return !u.second.final; }));
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -122,6 +122,7 @@
     // Machines that the service returned while tasks were on them.
     std::size_t returned_with_tasks() const { return returned_with_tasks_; }
     const std::vector<std::string>& broken_rules() const { return broken_; }
+    std::string describe_broken() const;
     std::size_t jobs_left() const;
     std::size_t tasks_started() const { return starts_; }
     std::size_t terms() const { return terms_; }
@@ -206,6 +207,8 @@
     void abort(User& user);
     void abort_at(User& user, std::size_t node);
     void told(User& user, const core::Answer& answer);
+    void ask_again(User& user, std::size_t node, const std::string& method,
+                   const std::string& target, const std::string& body, const char* when);
     void repeat_user(User& user, const std::string& target, const std::string& body);
     void ask_unknown();
 
--- a/tests/simulation_test.cpp
+++ b/tests/simulation_test.cpp
@@ -2,22 +2,15 @@
 // checked after every step, and every job over some time after the last fault.
 #include <gtest/gtest.h>
 
+#include "sim/expect.hpp"
 #include "sim/world.hpp"
 
 namespace dunebridge::sim {
 namespace {
 
-std::string join(const std::vector<std::string>& lines) {
-    std::string out;
-    for (const auto& l : lines) out += l + "\n";
-    return out;
-}
-
 void expect_good(World& world) {
     world.run();
-    EXPECT_TRUE(world.broken_rules().empty()) << join(world.broken_rules());
-    EXPECT_EQ(world.jobs_left(), 0u) << world.describe_left();
-    EXPECT_GT(world.tasks_started(), 0u);
+    expect_over(world);
 }
 
 TEST(Simulation, QuietDay) {
@@ -59,7 +52,7 @@
     world.run_for(Millis(36000));
     EXPECT_EQ(world.killed_by_lease(), 0u);
     world.run_for(Millis(60000));
-    EXPECT_TRUE(world.broken_rules().empty()) << join(world.broken_rules());
+    EXPECT_TRUE(world.broken_rules().empty()) << world.describe_broken();
     EXPECT_EQ(world.terms(), 2u);
 }
 
@@ -94,7 +87,7 @@
         world.run_for(Millis(1700));
         world.state_outage(Millis(60000));
         world.run_for(Millis(62000));
-        ASSERT_TRUE(world.broken_rules().empty()) << join(world.broken_rules());
+        ASSERT_TRUE(world.broken_rules().empty()) << world.describe_broken();
         EXPECT_GT(world.cancelled_told(), told);
     }
     // The peers vouch for what they told: the outage costs no running task.
@@ -111,7 +104,7 @@
     options.machines = 2;
     World world(options);
     world.run_for(Millis(300000));
-    ASSERT_TRUE(world.broken_rules().empty()) << join(world.broken_rules());
+    ASSERT_TRUE(world.broken_rules().empty()) << world.describe_broken();
     ASSERT_TRUE(world.largest_began_s().has_value());
     EXPECT_LT(*world.largest_began_s(), 240);
 }
@@ -153,7 +146,7 @@
     }
     world.crash_leader();
     world.run();
-    EXPECT_TRUE(world.broken_rules().empty()) << join(world.broken_rules());
+    EXPECT_TRUE(world.broken_rules().empty()) << world.describe_broken();
     EXPECT_GT(most_up, 1000u);
     EXPECT_GT(world.terms(), 1u);
     EXPECT_GE(world.least_served(), 0.5) << world.describe_left();
@@ -201,7 +194,7 @@
     options.most_shards = options.seed % 4 == 0 ? 30 : 10;
     World world(options);
     world.run();
-    EXPECT_TRUE(world.broken_rules().empty()) << join(world.broken_rules());
+    EXPECT_TRUE(world.broken_rules().empty()) << world.describe_broken();
     EXPECT_GT(world.tasks_started(), 0u);
 }
 INSTANTIATE_TEST_SUITE_P(Seeds, Crowded, testing::Values(1004, 1036, 1216, 1421, 1511, 1607, 3222));
@@ -218,7 +211,7 @@
     options.machines = 4 + options.seed % 12;
     World world(options);
     world.run();
-    EXPECT_TRUE(world.broken_rules().empty()) << join(world.broken_rules());
+    EXPECT_TRUE(world.broken_rules().empty()) << world.describe_broken();
     EXPECT_GT(world.tasks_started(), 0u);
 }
 INSTANTIATE_TEST_SUITE_P(Seeds, Harsh, testing::Range<std::uint64_t>(5000, 5024));
--- a/tests/soak.cpp
+++ b/tests/soak.cpp
@@ -20,8 +20,7 @@
         if (world.broken_rules().empty() && world.jobs_left() == 0) continue;
         ++bad;
         std::cout << "seed " << seed << "\n";
-        for (const auto& line : world.broken_rules()) std::cout << "  " << line << "\n";
-        std::cout << world.describe_left() << std::flush;
+        std::cout << world.describe_broken() << world.describe_left() << std::flush;
     }
     std::cout << count << " seeds, " << bad << " bad\n";
     return bad == 0 ? 0 : 1;
--- a/tests/upgrade_test.cpp
+++ b/tests/upgrade_test.cpp
@@ -1,6 +1,7 @@
 // Old and new versions side by side, and a state service that lowers its limits without notice.
 #include <gtest/gtest.h>
 
+#include "sim/expect.hpp"
 #include "sim/script.hpp"
 #include "sim/world.hpp"
 
@@ -9,12 +10,6 @@
 
 Millis s(double seconds) { return from_seconds(seconds); }
 
-std::string all(const World& w) {
-    std::string out;
-    for (const auto& line : w.broken_rules()) out += line + "\n";
-    return out;
-}
-
 Options large_jobs(std::uint64_t seed) {
     Options o;
     o.seed = seed;
@@ -33,9 +28,7 @@
 
 void expect_good(World& world) {
     world.run();
-    EXPECT_TRUE(world.broken_rules().empty()) << all(world);
-    EXPECT_EQ(world.jobs_left(), 0u) << world.describe_left();
-    EXPECT_GT(world.tasks_started(), 1000u);
+    expect_over(world, 1000);
 }
 
 // Written by the version in production (deploy/service.toml), for a job of three tasks: the first
