Polls keep to half the state service's rate over all nodes; a load goes on after a refusal

A refused read ended the leader's load, a new term began it anew: 76 terms after the second crash, 1,600 tasks killed by leases. Now all nodes together read half of the rate for users, lookups included; requests about a job share one lookup; a conflict that names the record alone skips the read of the end; a load retries what was refused; a creation refused for the rate is sent again within its time.

--- a/src/api/confirmations.cpp
+++ b/src/api/confirmations.cpp
@@ -6,11 +6,9 @@
 
 namespace dunebridge::api {
 
-using core::LogLevel;
 using state::end_key;
 using state::job_key;
 using state::Outcome;
-using wire::JobStatus;
 
 // Returns whether the request now waits for a check of its job's ancestors.
 bool JobService::check_ancestors_first(PendingRequest& pending) {
@@ -94,93 +92,36 @@
     }
     // Only the keys named as failed are known to differ; the rest is asked again.
     const std::set<std::string> failed(result.failed.begin(), result.failed.end());
-    std::map<JobId, std::vector<PendingRequest>> changed;
     for (auto& pending : batch) {
-        if (failed.contains(job_key(pending.job)) || failed.contains(end_key(pending.job))) {
-            changed[pending.job].push_back(std::move(pending));
-            continue;
+        if (failed.contains(end_key(pending.job))) {
+            lookup_records_.start(std::move(pending), JobLookup::Stage::end);
+        } else if (failed.contains(job_key(pending.job))) {
+            lookup_records_.start(std::move(pending), JobLookup::Stage::record);
+        } else {
+            const auto ended = ended_ancestors(pending, failed);
+            settle_ancestors(std::move(pending), ended);
         }
-        const auto ended = ended_ancestors(pending, failed);
-        settle_ancestors(std::move(pending), ended);
     }
-    for (auto& [job, requests] : changed) {
-        for (auto& pending : requests) look_up_end(std::move(pending));
-    }
-}
-
-void JobService::look_up_end(PendingRequest pending) {
-    const auto key = end_key(pending.job);  // read before `pending` is moved from
-    store_.get(key, kReadTimeout,
-               [this, pending = std::move(pending)](const state::GetResult& result) mutable {
-                   if (!result.answered) {
-                       answer_unavailable(pending);
-                       return;
-                   }
-                   if (!result.row) {
-                       look_up_job(std::move(pending));
-                       return;
-                   }
-                   const auto end = state::decode_end(result.row->value);
-                   const JobStatus status{pending.job, end.phase,
-                                          end.done() ? end.tasks.value_or(0) : 0, 0};
-                   end_found(std::move(pending), status);
-               });
-}
-
-void JobService::look_up_job(PendingRequest pending) {
-    const auto key = job_key(pending.job);  // read before `pending` is moved from
-    store_.get(key, kReadTimeout,
-               [this, pending = std::move(pending)](const state::GetResult& result) mutable {
-                   if (!result.answered) {
-                       answer_unavailable(pending);
-                   } else if (result.row) {
-                       take_job(std::move(pending), *result.row);
-                   } else {
-                       cache_.set_record(pending.job, KeyRev());
-                       cache_.set_ancestors(pending.job, {});
-                       enqueue(std::move(pending));
-                   }
-               });
 }
 
-void JobService::take_job(PendingRequest pending, const state::Row& row) {
-    try {
-        const auto job = state::decode_job_record(row.value);
-        cache_.set_record(pending.job, row.rev);
-        if (job.dependency_parts > 0) {
-            read_parts(std::move(pending), job.dependency_parts);
-            return;
+// What the reads of a job's records have found, for all that asked about it.
+void JobService::looked_up(std::vector<PendingRequest> waiting, const JobLookupResult& result) {
+    for (auto& pending : waiting) {
+        switch (result.kind) {
+            case JobLookupResult::Kind::unavailable:
+                answer_unavailable(pending);
+                break;
+            case JobLookupResult::Kind::ended:
+                end_found(std::move(pending), result.end);
+                break;
+            case JobLookupResult::Kind::known:
+                job_known(std::move(pending));
+                break;
+            case JobLookupResult::Kind::absent:
+                enqueue(std::move(pending));
+                break;
         }
-        cache_.set_ancestors(pending.job, job.ancestors);
-    } catch (const wire::DecodeError& e) {
-        port_.log(LogLevel::error, "event=bad_record key={} error=\"{}\"", row.key, e.what());
-        answer_unavailable(pending);
-        return;
     }
-    job_known(std::move(pending));
-}
-
-// They were created with the job's record; some are missing only once the job is over.
-void JobService::read_parts(PendingRequest pending, std::uint64_t expected) {
-    const auto prefix = state::dependency_prefix(pending.job);
-    store_.list(prefix, [this, expected,
-                         pending = std::move(pending)](const state::ListResult& parts) mutable {
-        if (!parts.answered || parts.rows.size() != expected) {
-            cache_.set_record(pending.job, KeyRev());  // it is read again next time
-            answer_unavailable(pending);
-            return;
-        }
-        try {
-            cache_.set_ancestors(pending.job, jobs_in_parts(parts.rows));
-        } catch (const wire::DecodeError& e) {
-            port_.log(LogLevel::error, "event=bad_record key={} error=\"{}\"",
-                      parts.rows.front().key, e.what());
-            cache_.set_record(pending.job, KeyRev());
-            answer_unavailable(pending);
-            return;
-        }
-        job_known(std::move(pending));
-    });
 }
 
 void JobService::job_known(PendingRequest pending) {
--- a/src/api/job_service.cpp
+++ b/src/api/job_service.cpp
@@ -21,10 +21,17 @@
 // the others'.
 constexpr Millis kGiveUp{1500};
 constexpr int kRetryAfter_s = 1;
-// A node's share of the budgets; the leader's ledger has the larger part
+// A node's share of the writes; the leader's ledger has the larger part
 // (core/ledger_committer.cpp).
 constexpr double kWriteShare = 0.2;
-constexpr double kReadShare = 0.25;
+// What all nodes together may read for users. The rest is for the leader: its lease, its watches,
+// its transactions, and the ledger that it reads when a term begins.
+constexpr double kReadShareOfAll = 0.5;
+
+double reads_of_one_node(const core::Config& config) {
+    const auto nodes = static_cast<double>(config.known.size() + 1);
+    return kReadShareOfAll * config.state.rps() / nodes;
+}
 }  // namespace
 
 JobService::JobService(core::Port& port, state::Store& store, const core::Config& config,
@@ -37,12 +44,16 @@
       display_(std::move(display)),
       announce_(std::move(announce)),
       writes_(kWriteShare * config.state.write_rps()),
-      reads_(kReadShare * config.state.rps()),
+      reads_(reads_of_one_node(config)),
       lookup_(port, store, cache_),
       check_(port, store, config, reads_,
              [this](const JobId& job, AncestorCheck::Outcome outcome,
                     const std::vector<JobId>& ended) { ancestors_checked(job, outcome, ended); }),
-      records_(config) {}
+      records_(config),
+      lookup_records_(port, store, cache_,
+                      [this](std::vector<PendingRequest> waiting, const JobLookupResult& result) {
+                          looked_up(std::move(waiting), result);
+                      }) {}
 
 PendingRequest JobService::new_request(RequestId request, const JobId& job, Intent intent) const {
     PendingRequest pending;
@@ -59,7 +70,9 @@
 
 void JobService::cancel(RequestId request, const JobId& job) {
     auto pending = new_request(request, job, Intent::cancel);
-    if (!answer_if_ended(pending)) look_up_end(std::move(pending));
+    if (!answer_if_ended(pending)) {
+        lookup_records_.start(std::move(pending), JobLookup::Stage::end);
+    }
 }
 
 // ---- answers ----
@@ -114,15 +127,26 @@
 }
 
 void JobService::tick() {
-    while (!to_confirm_.empty() && confirming_ < kMaxConfirming) {
+    send_reads();
+    create_jobs();
+    drop_late();
+}
+
+// Confirmations and lookups in turn, so that neither keeps the whole budget: users who ask in
+// masses must not crowd out the leader's reads and writes, nor one another.
+void JobService::send_reads() {
+    for (;;) {
+        const bool may_confirm = !to_confirm_.empty() && confirming_ < kMaxConfirming;
+        const bool may_look_up = lookup_records_.has_unsent();
+        if (!may_confirm && !may_look_up) return;
         if (!reads_.take(1, port_.now())) {
             port_.wake_at(reads_.ready_at(1, port_.now()));
-            break;
+            return;
         }
-        confirm();
+        const bool look_up = may_look_up && (look_up_next_ || !may_confirm);
+        look_up_next_ = !look_up;
+        look_up ? lookup_records_.send_next() : confirm();
     }
-    create_jobs();
-    drop_late();
 }
 
 // Those that have waited too long, for the budgets or for a check, are answered 503.
@@ -135,6 +159,7 @@
     for (auto* queue : {&to_confirm_, &to_create_}) {
         while (!queue->empty() && late(queue->front())) queue->pop_front();
     }
+    lookup_records_.drop_if(late);
     for (auto& [job, waiting] : awaiting_check_) std::erase_if(waiting, late);
     std::erase_if(awaiting_check_, [](const auto& entry) { return entry.second.empty(); });
 }
@@ -154,7 +179,7 @@
                 const JobStatus end{pending.job, JobPhase::cancelled, 0, 0};
                 end_found(std::move(pending), end);
             } else if (result.outcome == Outcome::conflict && ++pending.tries <= kMaxTries) {
-                look_up_end(std::move(pending));
+                lookup_records_.start(std::move(pending), JobLookup::Stage::end);
             } else {
                 answer_unavailable(pending);
             }
--- a/src/api/job_service.hpp
+++ b/src/api/job_service.hpp
@@ -19,6 +19,7 @@
 #include "api/ancestor_check.hpp"
 #include "api/dependency_lookup.hpp"
 #include "api/job_cache.hpp"
+#include "api/job_lookup.hpp"
 #include "api/pending_request.hpp"
 #include "api/submission_records.hpp"
 #include "base/token_bucket.hpp"
@@ -73,6 +74,7 @@
     void end_found(PendingRequest pending, const wire::JobStatus& end);
 
     // Confirmations.
+    void send_reads();
     void enqueue(PendingRequest pending);
     bool check_ancestors_first(PendingRequest& pending);
     void ancestors_checked(const JobId& job, AncestorCheck::Outcome outcome,
@@ -80,10 +82,7 @@
     void confirm();
     void confirmed(std::vector<PendingRequest> batch, const state::TransactionResult& result);
     void answer_confirmed(const PendingRequest& pending);
-    void look_up_end(PendingRequest pending);
-    void look_up_job(PendingRequest pending);
-    void take_job(PendingRequest pending, const state::Row& row);
-    void read_parts(PendingRequest pending, std::uint64_t expected);
+    void looked_up(std::vector<PendingRequest> waiting, const JobLookupResult& result);
     void job_known(PendingRequest pending);
     void drop_late();
 
@@ -112,11 +111,13 @@
     DependencyLookup lookup_;
     AncestorCheck check_;
     SubmissionRecords records_;
+    JobLookup lookup_records_;
 
     std::deque<PendingRequest> to_confirm_;
     std::deque<PendingRequest> to_create_;
     std::map<JobId, std::vector<PendingRequest>> awaiting_check_;
     int confirming_ = 0;
+    bool look_up_next_ = false;
     int creating_ = 0;
     std::uint64_t format_ = 0;  // of the ledger, as far as this node has read; 0: the oldest
 };
--- a/src/api/submissions.cpp
+++ b/src/api/submissions.cpp
@@ -188,12 +188,16 @@
     for (auto& pending : batch) {
         if (result.outcome == Outcome::ok) {
             answer_created(pending, result.rev);
+        } else if (result.outcome == Outcome::refused && store_.reachable()) {
+            // The service is over its rate: certainly not written, and taken again as the budget
+            // allows.
+            enqueue(std::move(pending));
         } else if (result.outcome != Outcome::conflict) {
             // Not written, or not known: the user's repeat finds out.
             answer_unavailable(pending);
         } else if (failed.contains(job_key(pending.job)) || failed.contains(end_key(pending.job))) {
             pending.intent = Intent::poll;
-            look_up_end(std::move(pending));
+            lookup_records_.start(std::move(pending), JobLookup::Stage::end);
         } else {
             const auto ended = ended_ancestors(pending, failed);
             settle_ancestors(std::move(pending), ended);
--- a/src/core/ledger_committer.cpp
+++ b/src/core/ledger_committer.cpp
@@ -176,6 +176,8 @@
         ledger_.dependencies().read_end(id);
     }
     if (explained) return;
+    port_.log(LogLevel::info, "event=commit_conflict term={} key={} of={}", election_.term().get(),
+              result.failed.empty() ? "" : result.failed.front(), result.failed.size());
     // The leader key has changed. Standing again over the old revision fails if another leads.
     election_.renew_term();
 }
--- a/src/core/ledger_loader.cpp
+++ b/src/core/ledger_loader.cpp
@@ -27,6 +27,7 @@
 constexpr Millis kWatchRetry{300};
 constexpr Millis kWatchPause{20};  // gathers changes that come together into one answer
 constexpr Millis kReadAgain{500};
+constexpr Millis kLoadRetry{150};
 // For how long another node may lead that can read what this one cannot.
 constexpr Millis kStandAside{20000};
 }  // namespace
@@ -60,8 +61,7 @@
     store_.list(steps[step].prefix, [this, step, generation](const state::ListResult& result) {
         if (!ledger_.current(generation)) return;
         if (!result.answered) {
-            // Without its ledger this node can do nothing: a new term reads it again.
-            election_.renew_term();
+            try_again([this, step, generation] { load_next(step, generation); });
             return;
         }
         if (step == 0) load_revision_ = result.rev;
@@ -70,6 +70,16 @@
     });
 }
 
+// A read that the service refused, as it is over its rate or slow, is made again: a new term would
+// only begin the whole load anew, and with it as many reads. Whether this node still leads is known
+// apart from that.
+void LedgerLoader::try_again(std::function<void()> read) {
+    port_.after(kLoadRetry + port_.jitter(kLoadRetry),
+                [this, read = std::move(read), generation = ledger_.generation()] {
+                    if (ledger_.current(generation)) read();
+                });
+}
+
 // A record that cannot be read stops the load: going on without it would lose a job or a task. A
 // node that knows the format may lead meanwhile.
 void LedgerLoader::bad_record(const std::string& key, const std::string& error) {
@@ -184,7 +194,9 @@
                             return;
                         }
                         if (result.outcome != Outcome::conflict || result.failed.empty()) {
-                            election_.renew_term();
+                            try_again([this, ids = std::move(ids), generation]() mutable {
+                                check_ends(std::move(ids), generation);
+                            });
                             return;
                         }
                         for (const auto& key : result.failed) {
--- a/src/core/ledger_loader.hpp
+++ b/src/core/ledger_loader.hpp
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -36,6 +37,7 @@
     void check_ends(std::vector<JobId> ids, std::uint64_t generation);
     void finish(std::uint64_t generation);
     void link_dependencies();
+    void try_again(std::function<void()> read);
     void bad_record(const std::string& key, const std::string& error);
 
     void watch(const char* prefix, KeyRev from, std::uint64_t generation);
