A process that stood still reads what came meanwhile before it judges or gives up anyone

A timer that fires a second or more late logs event=stood_still with the length and leaves 20 ms for what has queued up in the sockets; a call whose deadline is noticed late gets 50 ms to read its answer; a call decided a leader's lease ago is not sent any more. Test: Sockets.AnAnswerThatCameDuringAStandStillIsRead.

--- a/src/app/runtime.cpp
+++ b/src/app/runtime.cpp
@@ -19,6 +19,10 @@
 // Commands to one worker come in bursts; a connection kept for longer does not pay.
 constexpr auto kIdleCommands = std::chrono::seconds(20);
 constexpr Millis kIdleFront{60000};
+// A timer that fires so late shows that the process stood still, or had no processor time.
+constexpr Millis kGap{1000};
+// To read what has queued up in the sockets meanwhile, before anyone is judged by the clock.
+constexpr Millis kCatchUp{20};
 
 spdlog::level::level_enum to_spdlog(core::LogLevel level) {
     switch (level) {
@@ -97,11 +101,23 @@
     timer_.expires_after(armed_ - time);
     timer_.async_wait([this](boost::system::error_code ec) {
         if (ec) return;
-        armed_ = Instant{};
-        if (!step_posted_) step();
+        const auto late = now() - std::exchange(armed_, Instant{});
+        if (late >= kGap) {
+            catch_up(late);
+        } else if (!step_posted_) {
+            step();
+        }
     });
 }
 
+// Every timer is overdue now: reports, heartbeats and answers that have come meanwhile are taken
+// first, so that none of their senders counts as silent. Whoever led steps back before it acts
+// (LeadershipRules::step_back_after_stall).
+void Runtime::catch_up(Millis late) {
+    spdlog::error("node={} event=stood_still for_s={:.1f}", config_.name.get(), to_seconds(late));
+    arm(now() + kCatchUp);
+}
+
 // What was decided before a stand-still is not acted on: nothing is sent, and nothing answered as
 // by one entitled to.
 void Runtime::give_up(core::Effects&& effects) {
@@ -121,10 +137,16 @@
         auto& server = answer.id.get() >= kBackIds ? *back_ : *front_;
         server.answer(std::move(answer));
     }
-    for (auto& c : effects.calls) asio::co_spawn(io_, call(std::move(c)), asio::detached);
+    const auto decided = now();
+    for (auto& c : effects.calls) asio::co_spawn(io_, call(std::move(c), decided), asio::detached);
 }
 
-asio::awaitable<void> Runtime::call(core::HttpCall c) {
+asio::awaitable<void> Runtime::call(core::HttpCall c, Instant decided) {
+    // The process may have stood still since: what it decided as the leader is not sent any more.
+    if (now() - decided >= config_.tuning.leader_lease) {
+        post(core::CallDone{c.id, {core::HttpReply::kUnsent, {}}});
+        co_return;
+    }
     std::string address = c.endpoint;
     if (c.service == core::Service::state) address = config_.state_addr;
     if (c.service == core::Service::cloud) address = config_.cloud_addr;
--- a/src/app/runtime.hpp
+++ b/src/app/runtime.hpp
@@ -22,7 +22,8 @@
     void carry_out(core::Effects&& effects);
     void give_up(core::Effects&& effects);
     void arm(Instant wake);
-    boost::asio::awaitable<void> call(core::HttpCall call);
+    void catch_up(Millis late);
+    boost::asio::awaitable<void> call(core::HttpCall call, Instant decided);
     void share_sockets();
     boost::asio::awaitable<void> sweep();
     static Instant now();
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -17,6 +17,9 @@
 
 namespace {
 constexpr std::size_t kIdlePerAddress = 8;
+// A deadline that is noticed so late, and what is given to read an answer that came before it.
+constexpr auto kStoodStill = std::chrono::milliseconds(500);
+constexpr Millis kTimeToRead{50};
 constexpr std::size_t kFirstBuffer = std::size_t{2} * 1024;  // most answers are read at once
 constexpr std::size_t kKeptBuffer = std::size_t{64} * 1024;
 // Watches have no size limit by protocol; this one only keeps a broken peer from filling memory.
@@ -93,6 +96,20 @@
     idle_.pop_front();
 }
 
+// The connection is closed once the time is over, and the call ends with it.
+void HttpClient::set_deadline(const ConnectionPtr& connection, Millis timeout) {
+    connection->deadline.expires_after(timeout);
+    connection->deadline.async_wait([weak = std::weak_ptr(connection)](error_code ec) {
+        const auto c = weak.lock();
+        const auto late = c ? std::chrono::steady_clock::now() - c->deadline.expiry()
+                            : std::chrono::steady_clock::duration(-1);
+        // A timer that fired just as the call ended must not close the next call's connection.
+        if (ec || late < std::chrono::steady_clock::duration(0)) return;
+        // The process stood still: the answer may lie in the buffer.
+        late >= kStoodStill ? set_deadline(c, kTimeToRead) : c->close();
+    });
+}
+
 asio::awaitable<core::HttpReply> HttpClient::call(std::string address, std::string method,
                                                   std::string target, std::string body,
                                                   Millis timeout) {
@@ -100,12 +117,7 @@
     if (!connection) connection = new_connection();
     if (!connection) co_return core::HttpReply{core::HttpReply::kUnsent, {}};
     connection->sent = false;
-    connection->deadline.expires_after(timeout);
-    connection->deadline.async_wait([weak = std::weak_ptr(connection)](error_code ec) {
-        const auto c = weak.lock();
-        // A timer that fired just as the call ended must not close the next call's connection.
-        if (!ec && c && c->deadline.expiry() <= std::chrono::steady_clock::now()) c->close();
-    });
+    set_deadline(connection, timeout);
     core::HttpReply reply;
     try {
         reply = co_await exchange(connection, address, std::move(method), std::move(target),
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -42,6 +42,7 @@
     ConnectionPtr new_connection();
     void keep(std::string address, ConnectionPtr connection);
     void drop_oldest();
+    static void set_deadline(const ConnectionPtr& connection, Millis timeout);
     boost::asio::awaitable<core::HttpReply> exchange(ConnectionPtr connection, std::string address,
                                                      std::string method, std::string target,
                                                      std::string body);
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -245,6 +245,43 @@
     EXPECT_EQ(statuses, (std::vector<int>{200, 200, 200, 200, -1}));
 }
 
+// The process stands still for longer than the call may take; the answer, too long to be read at
+// once, came before that time was over. It is read, not given up.
+TEST_F(Sockets, AnAnswerThatCameDuringAStandStillIsRead) {
+    constexpr std::size_t bytes = std::size_t{4} * 1024 * 1024;
+    boost::asio::steady_timer delay(io_);
+    std::unique_ptr<net::HttpServer> server;
+    server = std::make_unique<net::HttpServer>(
+        io_, "127.0.0.1:0", net::HttpServer::Limits{10, std::chrono::minutes(1)}, 0,
+        [&](net::HttpRequest&& request) {
+            delay.expires_after(std::chrono::milliseconds(60));
+            delay.async_wait([&, id = request.id](boost::system::error_code) {
+                server->answer({id, 200, std::string(bytes, 'x'), 0});
+            });
+        });
+    server->start();
+    const auto address = "127.0.0.1:" + std::to_string(server->port());
+    run();
+    boost::asio::io_context own;
+    net::HttpClient client(own, 2, std::chrono::seconds(60));
+    core::HttpReply reply;
+    boost::asio::co_spawn(
+        own,
+        [&]() -> boost::asio::awaitable<void> {
+            reply = co_await client.call(address, "GET", "/", {}, Millis(100));
+        },
+        boost::asio::detached);
+    boost::asio::steady_timer stop(own, std::chrono::milliseconds(30));
+    stop.async_wait([](boost::system::error_code) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(900));
+    });
+    own.run();
+    EXPECT_EQ(reply.status, 200);
+    EXPECT_EQ(reply.body.size(), bytes);
+    io_.stop();
+    thread_.join();
+}
+
 TEST(SocketBudget, SharesNeverAddUpToMoreThanTheLimit) {
     for (const std::size_t limit : {32, 100, 512, 1800, 2928, 3132, 100000}) {
         const core::SocketBudget b(limit);
