Jobs that fail everywhere and machines that come late or never

Failures: a job's and a machine's faults are told apart by evidence (workers/failure_attribution.hpp); a faulty job is tried two tasks at a time after growing pauses, draws no machines, preempts nobody and keeps no machine; heartbeats tell the next leader which jobs those are. Startups: boot times are learnt by type and zone (provisioning/startup_monitor.hpp); overdue machines are replaced, a fifth of the fleet at most, elsewhere first; places that deliver nothing are left alone for doubling times and then probed. A cancellation is told to a leader that is still loading its ledger.

--- a/src/cluster/heartbeat.cpp
+++ b/src/cluster/heartbeat.cpp
@@ -9,11 +9,14 @@
 constexpr std::uint64_t kVersion = 1;
 constexpr std::size_t kMaxProgress = 400;
 constexpr std::size_t kMaxCancellations = 2000;
+constexpr std::size_t kMaxFaultyJobs = 200;
+constexpr std::size_t kFields = 10;  // always there
 }  // namespace
 
 std::string encode(const Heartbeat& heartbeat) {
     wire::Writer w;
-    w.map(10).text("v").count(kVersion);
+    const auto faulty = std::min(heartbeat.faulty_jobs.size(), kMaxFaultyJobs);
+    w.map(faulty > 0 ? kFields + 1 : kFields).text("v").count(kVersion);
     w.text("node").text(heartbeat.node.get());
     w.text("term").count(heartbeat.term.get());
     w.text("leads").boolean(heartbeat.leads);
@@ -31,6 +34,9 @@
     w.text("format").count(heartbeat.format);
     w.text("withdrawn").list(heartbeat.cancellations.jobs.size());
     for (const auto& id : heartbeat.cancellations.jobs) w.text(id.get());
+    if (faulty == 0) return w.take();
+    w.text("faulty").list(faulty);
+    for (std::size_t i = 0; i < faulty; ++i) w.text(heartbeat.faulty_jobs[i].get());
     return w.take();
 }
 
@@ -51,6 +57,10 @@
                                       job.at(2).need_count("running")});
     }
     if (!body["format"].is_null()) heartbeat.format = body["format"].need_count("format");
+    const auto faulty = body["faulty"];
+    for (std::size_t i = 0; i < std::min(faulty.size(), kMaxFaultyJobs); ++i) {
+        heartbeat.faulty_jobs.emplace_back(faulty.at(i).need_text("faulty"));
+    }
     // A version without the log acknowledges nothing.
     if (body["log"].is_null()) return heartbeat;
     heartbeat.cancellations.incarnation = body["log"].need_count("log");
--- a/src/cluster/heartbeat.hpp
+++ b/src/cluster/heartbeat.hpp
@@ -28,6 +28,8 @@
     CancellationLogPart cancellations;
     std::uint64_t format = 2;  // newest format of the ledger that the node knows
     std::vector<Progress> progress;
+    // Jobs that the leader takes to fail on every machine. Absent on the wire while there are none.
+    std::vector<JobId> faulty_jobs;
 };
 std::string encode(const Heartbeat& heartbeat);
 Heartbeat decode_heartbeat(wire::Value body);  // throws wire::DecodeError
--- a/src/cluster/peers.cpp
+++ b/src/cluster/peers.cpp
@@ -1,6 +1,7 @@
 #include "cluster/peers.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace dunebridge::cluster {
 
@@ -109,6 +110,7 @@
     progress_.clear();
     for (const auto& p : heartbeat.progress) progress_.emplace(p.id, p);
     peer.heartbeat.progress.clear();
+    faulty_jobs_ = std::exchange(peer.heartbeat.faulty_jobs, {});
 }
 
 NodeName Peers::leader() const {
--- a/src/cluster/peers.hpp
+++ b/src/cluster/peers.hpp
@@ -44,6 +44,8 @@
     // Some peer has lately reported that it reaches the state service.
     bool state_reachable_elsewhere() const;
     const std::unordered_map<JobId, Progress>& progress() const { return progress_; }
+    // Jobs that the latest leader heard of took to fail on every machine.
+    const std::vector<JobId>& faulty_jobs() const { return faulty_jobs_; }
 
   private:
     struct Peer {
@@ -71,6 +73,7 @@
     std::function<void(const JobId&)> cancelled_;
     std::unordered_map<NodeName, Peer> peers_;
     std::unordered_map<JobId, Progress> progress_;
+    std::vector<JobId> faulty_jobs_;
     Term highest_term_;
     Instant last_heard_{};
     Instant next_{};
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -63,7 +63,7 @@
     if (upkeep && election_.is_leader()) rules_.step_back_if_isolated();
     if (upkeep && leads()) rules_.resign_if_unreached();
     if (leads()) {
-        apply_cancellations();
+        take_over();
         if (upkeep) ledger_.use_format(format_of_all());
         provisioner_.tick();
         schedule();
@@ -197,21 +197,55 @@
     ledger_.ended(id, wire::JobPhase::cancelled);
 }
 
+// The peer that leads, empty if there is none or it is this node. One that has just been elected
+// says so only once it has read the ledger, and starts tasks in the next moment.
+NodeName Core::leader_to_tell() const {
+    if (election_.is_leader()) return NodeName();
+    const auto leader = peers_.leader();
+    return leader.get().empty() ? election_.seen_leader() : leader;
+}
+
 // The leader is to know before the user does, so that nothing starts after it; if it does not
 // answer, its power to renew is bounded all the same.
 void Core::announce(const JobId& id, std::function<void()> then) {
     cancelled(id);
-    const auto leader = leads() ? NodeName() : peers_.leader();
+    const auto leader = leader_to_tell();
     leader.get().empty() ? then() : peers_.send_heartbeat(leader, std::move(then));
 }
 
+// What this node knows besides the ledger that it has just loaded.
+void Core::take_over() {
+    if (taken_over_ == generation_) return;
+    taken_over_ = generation_;
+    apply_cancellations();
+    restore_faulty_jobs();
+}
+
 // Those that were reported before the ledger was loaded.
 void Core::apply_cancellations() {
-    if (cancellations_applied_ == generation_) return;
-    cancellations_applied_ = generation_;
     for (const auto& id : cancellations_.kept().jobs) cancel_in_ledger(id);
 }
 
+// Jobs that failed everywhere under the leader before are not tried at full width once more. It is
+// advice: one that has recovered shows it with its first success.
+void Core::restore_faulty_jobs() {
+    const auto restore = [this](const std::vector<JobId>& ids) {
+        for (const auto& id : ids) {
+            if (auto* job = ledger_.find_job(id)) job->failures.faulty = true;
+        }
+    };
+    restore(own_faulty_jobs_);
+    restore(peers_.faulty_jobs());
+}
+
+std::vector<JobId> Core::faulty_jobs() {
+    std::vector<JobId> faulty;
+    for (const auto& [id, job] : ledger_.jobs()) {
+        if (job.state == JobState::open && job.failures.faulty) faulty.push_back(id);
+    }
+    return faulty;
+}
+
 void Core::handle_ready(const Request& request) {
     ready() ? port_.answer(request.id, 200, wire::Writer().map(0).take())
             : port_.answer(request.id, 503, wire::encode_error("not ready"), 1);
@@ -242,6 +276,9 @@
     heartbeat.format = config_.format;
     heartbeat.cancellations = cancellations_.kept();
     if (!heartbeat.leads) return heartbeat;
+    own_faulty_jobs_ = faulty_jobs();
+    // Written only once every controller knows this version.
+    if (format_of_all() == config_.format) heartbeat.faulty_jobs = own_faulty_jobs_;
     for (const auto& [id, job] : ledger_.jobs()) {
         if (job.state == JobState::open && (job.done > 0 || job.running > 0)) {
             heartbeat.progress.push_back({id, job.done, job.running});
--- a/src/core/core.hpp
+++ b/src/core/core.hpp
@@ -66,8 +66,12 @@
     bool ready() const;
     void cancelled(const JobId& id);
     void cancel_in_ledger(const JobId& id);
+    NodeName leader_to_tell() const;
     void announce(const JobId& id, std::function<void()> then);
+    void take_over();
     void apply_cancellations();
+    void restore_faulty_jobs();
+    std::vector<JobId> faulty_jobs();
     void follow_leadership();
     void schedule();
     std::uint64_t format_of_all() const;
@@ -90,7 +94,8 @@
     LeadershipRules rules_;
     CheckinRelay relay_;
     std::uint64_t generation_ = 0;
-    std::uint64_t cancellations_applied_ = 0;  // to the ledger of that generation
+    std::uint64_t taken_over_ = 0;        // the generation whose ledger has been completed
+    std::vector<JobId> own_faulty_jobs_;  // as last told while leading
     bool led_ = false;
     Instant last_apply_{};
     Instant next_schedule_{};
--- a/src/core/model.hpp
+++ b/src/core/model.hpp
@@ -2,6 +2,8 @@
 // Workers, Provisioner and Scheduler read it and keep their own fields in it.
 #pragma once
 
+#include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -45,6 +47,15 @@
     std::string key;
 };
 
+// What tells against a job whose tasks fail (workers/failure_attribution.hpp).
+struct JobFailures {
+    std::set<HostName> machines;  // on which its tasks failed since one of them last succeeded
+    bool faulty = false;          // its tasks are taken to fail on every machine
+};
+
+// Of a faulty job, so many tasks are tried at a time.
+inline constexpr std::size_t kFaultyJobTasks = 2;
+
 struct Job {
     wire::JobSpec spec;
     std::vector<TaskRange> ranges;  // all of its tasks, in order
@@ -72,8 +83,14 @@
 
     Instant retry_at{};  // after errors and refusals
     Millis pause{0};
-    std::set<HostName> failed_on;
-
+    JobFailures failures;
+
+    // How many more of its tasks may be placed now, whatever its team's limit is.
+    std::size_t placeable() const {
+        if (!failures.faulty) return waiting.size();
+        return std::min(waiting.size(),
+                        kFaultyJobTasks - std::min<std::size_t>(placed, kFaultyJobTasks));
+    }
     // Some task of it has been given a machine.
     bool begun() const { return done > 0 || placed > 0; }
     // Nothing of it may start yet.
@@ -161,13 +178,18 @@
     std::vector<Exited> exited;
     std::vector<UnexpectedTask> unexpected_tasks;
     Instant refused_until{};
-    std::set<JobId> errors;  // jobs that failed here since one last succeeded
+    // How often tasks of each job failed here since one of any job last succeeded.
+    std::map<JobId, std::uint32_t> failures;
 };
 
 // What the cloud's answers to this term's leader say of a machine (provisioning/).
 struct CloudState {
     Instant rented_at{};  // as far as the machine list shows
     bool starting = true;
+    // How it comes up (provisioning/startup_monitor.hpp).
+    bool awaited = false;   // rented in this term, and not up yet
+    bool overdue = false;   // it should be up
+    bool replaced = false;  // overdue, and another may take its place in the fleet
     bool listed = false;
     std::uint32_t missing_lists = 0;
     bool failed = false;
--- a/src/provisioning/machine_returns.cpp
+++ b/src/provisioning/machine_returns.cpp
@@ -19,8 +19,6 @@
 constexpr Millis kSilentMargin{3000};
 // Before one without tasks that has never reported in this term is.
 constexpr Millis kUnreportedIdle{15000};
-constexpr double kUnknownStartup_s = 60;
-constexpr Millis kStuckMargin{20000};
 // So many silent at once, and more than half, are more likely this node's own trouble.
 constexpr std::size_t kManySilent = 3;
 // For the command to save to arrive, and a notice that was too long.
@@ -30,12 +28,13 @@
 
 MachineReturns::MachineReturns(core::Port& port, CloudClient& cloud, core::Ledger& ledger,
                                workers::Workers& workers, const MachineTypes& types,
-                               const core::Config& config)
+                               const StartupMonitor& startups, const core::Config& config)
     : port_(port),
       cloud_(cloud),
       ledger_(ledger),
       workers_(workers),
       types_(types),
+      startups_(startups),
       config_(config) {}
 
 void MachineReturns::reset() {
@@ -110,9 +109,7 @@
     if (unlisted && known > config_.list_lag * 3 + kSilentMargin) return "unlisted";
     if (known <= kUnreportedIdle) return nullptr;
     if (!machine.cloud.starting) return "unheard";
-    const auto* type = types_.find(machine.machine_type);
-    const auto startup = from_seconds(type ? type->startup_s : kUnknownStartup_s);
-    const bool stuck = now - machine.cloud.rented_at > startup * 7 / 2 + kStuckMargin;
+    const bool stuck = now - machine.cloud.rented_at > startups_.give_up_after(machine);
     return stuck ? "stuck" : nullptr;
 }
 
--- a/src/provisioning/machine_returns.hpp
+++ b/src/provisioning/machine_returns.hpp
@@ -11,6 +11,7 @@
 #include "core/port.hpp"
 #include "provisioning/cloud_client.hpp"
 #include "provisioning/machine_types.hpp"
+#include "provisioning/startup_monitor.hpp"
 #include "workers/workers.hpp"
 
 namespace dunebridge::provisioning {
@@ -19,7 +20,7 @@
   public:
     MachineReturns(core::Port& port, CloudClient& cloud, core::Ledger& ledger,
                    workers::Workers& workers, const MachineTypes& types,
-                   const core::Config& config);
+                   const StartupMonitor& startups, const core::Config& config);
 
     // Another term begins.
     void reset();
@@ -43,6 +44,7 @@
     core::Ledger& ledger_;
     workers::Workers& workers_;
     const MachineTypes& types_;
+    const StartupMonitor& startups_;
     const core::Config& config_;
     std::set<HostName> given_up_;  // machines to be deleted
     bool deleting_ = false;
--- a/src/provisioning/provisioner.cpp
+++ b/src/provisioning/provisioner.cpp
@@ -27,13 +27,15 @@
       config_(config),
       cloud_(port, config.cloud_rps),
       types_(port, cloud_),
-      returns_(port, cloud_, ledger, workers, types_, config),
+      startups_(port, ledger, types_),
+      returns_(port, cloud_, ledger, workers, types_, startups_, config),
       list_(port, cloud_, ledger, workers, config,
             [this](Machine& machine) { returns_.give_up(machine, "failed"); }),
       rentals_(port, cloud_, election, ledger, workers, config) {}
 
 void Provisioner::reset() {
     list_.reset();
+    startups_.reset();
     returns_.reset();
     rentals_.reset();
     next_resize_ = Instant{};
@@ -61,7 +63,8 @@
     return std::any_of(machines.begin(), machines.end(), [&](const auto& entry) {
         const Machine& machine = entry.second;
         const auto* type = types_.find(machine.machine_type);
-        if (machine.cloud.deleting || machine.draining || machine.taken_at || !type) return false;
+        const bool leaving = machine.cloud.deleting || machine.draining || machine.taken_at;
+        if (leaving || startups_.to_replace(machine) || !type) return false;
         if (machine.spot && !demand.spot_allowed) return false;
         if (!demand.zone.empty() && machine.zone != demand.zone) return false;
         return wire::can_hold(*type, demand.need, demand.machine_types);
@@ -75,7 +78,7 @@
     demand.machine_types = job.spec.machine_types;
     demand.zone = job.spec.zone.value_or("");
     demand.seconds = run_times_.expected_s(job);
-    demand.tasks = static_cast<double>(job.waiting.size());
+    demand.tasks = static_cast<double>(job.placeable());
     return demand;
 }
 
@@ -94,8 +97,10 @@
         auto& left = room[job.spec.team];
         if (cores > 0) demand.tasks = std::min(demand.tasks, std::floor(left / cores));
         if (demand.tasks <= 0) continue;
-        left -= demand.tasks * cores;
         demand.fits_somewhere = fits_some_machine(demand);
+        // For a job that fails everywhere nothing is rented that others do not need.
+        if (job.failures.faulty && demand.fits_somewhere) continue;
+        left -= demand.tasks * cores;
         out.push_back(std::move(demand));
     }
     return out;
@@ -119,7 +124,8 @@
     const auto& worker = machine.worker;
     // Up long ago by the list, and yet without a report in this term: most likely gone.
     const bool lost = !worker.reported && !machine.cloud.starting && workers_.late(machine);
-    const bool leaving = machine.cloud.deleting || machine.draining || machine.taken_at;
+    const bool leaving = machine.cloud.deleting || machine.draining || machine.taken_at ||
+                         startups_.to_replace(machine);
     const bool idle = worker.reported && machine.tasks.empty();
     Capacity capacity;
     capacity.market = {machine.machine_type, machine.zone, machine.spot};
@@ -144,6 +150,7 @@
     }
     input.pending = rentals_.pending();
     input.blocked = rentals_.blocked();
+    input.allowances = startups_.allowances();
     return input;
 }
 
@@ -163,6 +170,7 @@
 void Provisioner::resize() {
     if (types_.all().empty()) return;
     observe_load();
+    startups_.update();
     const auto input = sizing_input();
     const auto sizing = plan(input);
     log_sizing(input, sizing);
--- a/src/provisioning/provisioner.hpp
+++ b/src/provisioning/provisioner.hpp
@@ -17,6 +17,7 @@
 #include "provisioning/rentals.hpp"
 #include "provisioning/run_times.hpp"
 #include "provisioning/sizing.hpp"
+#include "provisioning/startup_monitor.hpp"
 #include "workers/workers.hpp"
 
 namespace dunebridge::provisioning {
@@ -55,6 +56,7 @@
     CloudClient cloud_;
     MachineTypes types_;
     RunTimes run_times_;
+    StartupMonitor startups_;
     MachineReturns returns_;
     MachineList list_;
     Rentals rentals_;
--- a/src/provisioning/rentals.cpp
+++ b/src/provisioning/rentals.cpp
@@ -42,11 +42,18 @@
     const auto limit = config_.state.value_bytes();
     const std::uint64_t fit = limit > 2 * kRecordBytes ? (limit - kRecordBytes) / kHostBytes : 1;
     const auto most = std::min(kMaxMachinesPerRequest, fit);
-    const auto key = fmt::format("{}-{}", election_.term().get(), ++requests_);
+    const auto key = fmt::format("{}{}", key_prefix(), ++requests_);
     ledger_.add_rental(
         {key, market.machine_type, market.zone, market.spot, std::min<std::uint64_t>(count, most)});
 }
 
+// Keys of different terms never meet.
+std::string Rentals::key_prefix() const { return fmt::format("{}-", election_.term().get()); }
+
+bool Rentals::asked_in_this_term(const std::string& idempotency_key) const {
+    return idempotency_key.starts_with(key_prefix());
+}
+
 std::map<Market, std::size_t> Rentals::pending() const {
     std::map<Market, std::size_t> out;
     for (const auto& key : ledger_.open_rentals()) {
@@ -108,6 +115,10 @@
     auto hosts = result.hosts;
     std::erase_if(hosts, [&](const auto& host) { return workers_.was_deleted(host); });
     ledger_.rental_answered(key, hosts);
+    for (const auto& host : hosts) {
+        auto* machine = ledger_.find_machine(host);
+        if (machine && asked_in_this_term(key)) machine->cloud.awaited = true;
+    }
 }
 
 void Rentals::refused(const Market& market) {
--- a/src/provisioning/rentals.hpp
+++ b/src/provisioning/rentals.hpp
@@ -39,6 +39,8 @@
         Instant until{};
         Millis pause{0};
     };
+    std::string key_prefix() const;
+    bool asked_in_this_term(const std::string& idempotency_key) const;
     bool may_send(const std::string& idempotency_key);
     void answered(const wire::RentalRequest& request, const RentalResult& result);
     void refused(const Market& market);
--- a/src/provisioning/sizing.cpp
+++ b/src/provisioning/sizing.cpp
@@ -38,8 +38,21 @@
 struct Counts {
     double cores = 0;
     std::map<std::string, std::size_t> by_zone;
+    std::map<Market, std::size_t> rented;  // by this plan
 };
 
+// Whether the plan has taken from a market that does not deliver all that it may.
+bool exhausted(const SizingInput& in, const Counts& counts, const Market& market) {
+    const auto allowance = in.allowances.find(market);
+    if (allowance == in.allowances.end()) return false;
+    std::size_t rented = 0;
+    for (const bool spot : {false, true}) {
+        const auto it = counts.rented.find({market.machine_type, market.zone, spot});
+        rented += it == counts.rented.end() ? 0 : it->second;
+    }
+    return rented >= allowance->second;
+}
+
 Counts count(const SizingInput& in) {
     Counts c;
     std::map<std::string, double> cores_of;
@@ -55,10 +68,18 @@
     return c;
 }
 
-// The cheapest market for a core that can hold the demand; ties go to the zone with fewest
-// machines, so that one zone's loss or a wave of takebacks hurts less.
-const wire::MachineType* choose(const SizingInput& in, const Counts& counts, const Demand* demand,
-                                double wanted_cores, bool ordinary, Market& market) {
+// What a machine is wanted for.
+struct Wish {
+    const Demand* demand = nullptr;  // null: anything
+    double cores = 0;
+    bool ordinary = false;  // ordinary machines may be taken
+};
+
+// The cheapest market for a core that can hold the demand, of those that deliver or of all; ties go
+// to the zone with fewest machines, so that one zone's loss or a wave of takebacks hurts less.
+const wire::MachineType* cheapest(const SizingInput& in, const Counts& counts, const Wish& wish,
+                                  bool last_resort, Market& market) {
+    const auto* demand = wish.demand;
     const wire::MachineType* best = nullptr;
     double best_cost = std::numeric_limits<double>::max();
     for (const auto& t : in.types) {
@@ -68,11 +89,12 @@
             if (demand && !demand->zone.empty() && demand->zone != zone) continue;
             for (const bool spot : {true, false}) {
                 if (spot && demand && !demand->spot_allowed) continue;
-                if (!spot && !ordinary) continue;
+                if (!spot && !wish.ordinary) continue;
                 const Market m{t.name, zone, spot};
                 if (in.blocked.contains(m)) continue;
+                if (!last_resort && exhausted(in, counts, m)) continue;
                 // A machine larger than what is wanted is partly paid for nothing, at first.
-                const double spare = std::max(0.0, t.cores - wanted_cores) / t.cores;
+                const double spare = std::max(0.0, t.cores - wish.cores) / t.cores;
                 const auto it = counts.by_zone.find(zone);
                 const double crowd = it == counts.by_zone.end() ? 0 : double(it->second);
                 const double cost = (spot ? t.low_price : t.rate) / t.cores *
@@ -88,9 +110,16 @@
     return best;
 }
 
+const wire::MachineType* choose(const SizingInput& in, const Counts& counts, const Wish& wish,
+                                Market& market) {
+    const auto* type = cheapest(in, counts, wish, false, market);
+    return type ? type : cheapest(in, counts, wish, true, market);
+}
+
 void add_rent(SizingPlan& plan, Counts& counts, const Market& market, double cores) {
     counts.cores += cores;
     ++counts.by_zone[market.zone];
+    ++counts.rented[market];
     for (auto& r : plan.rent) {
         if (r.market == market) {
             ++r.count;
@@ -122,7 +151,7 @@
     for (const auto& d : in.demand) {
         if (d.fits_somewhere || d.tasks <= 0) continue;
         Market market;
-        const auto* type = choose(in, counts, &d, d.need.cores * d.tasks, true, market);
+        const auto* type = choose(in, counts, {&d, d.need.cores * d.tasks, true}, market);
         if (!type) continue;
         add_rent(plan, counts, market, type->cores);
         ++rented;
@@ -148,7 +177,7 @@
         const bool ordinary = backlog > counts.cores * in.boot_s * kOrdinaryBoots ||
                               (typical && !typical->spot_allowed);
         const auto* type =
-            choose(in, counts, typical, plan.target_cores - counts.cores, ordinary, market);
+            choose(in, counts, {typical, plan.target_cores - counts.cores, ordinary}, market);
         if (!type) break;
         add_rent(plan, counts, market, type->cores);
         ++rented;
--- a/src/provisioning/sizing.hpp
+++ b/src/provisioning/sizing.hpp
@@ -46,6 +46,9 @@
     std::vector<Capacity> machines;
     std::map<Market, std::size_t> pending;  // being rented
     std::set<Market> blocked;               // refused lately
+    // From markets that do not deliver, so many machines are rented at most, unless there is no
+    // other.
+    std::map<Market, std::size_t> allowances;
     double placed_cores = 0;
     double load_cores = 0;  // lately observed average of cores in use and asked for
     double headroom = 1.25;
--- /dev/null
+++ b/src/provisioning/startup_monitor.cpp
@@ -0,0 +1,156 @@
+#include "provisioning/startup_monitor.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace dunebridge::provisioning {
+
+using core::LogLevel;
+using core::Machine;
+
+namespace {
+constexpr double kUnknownStartup_s = 60;
+constexpr double kMeanWeight = 0.125;
+constexpr double kDeviationWeight = 0.25;
+constexpr double kFirstDeviation = 0.25;  // of the nominal time
+constexpr double kDeviations = 4;
+// Machines commonly take up to half as long again as the cloud says, also after a run of quick
+// ones.
+constexpr double kLeastLimit = 1.5;  // times the nominal time
+// Of the fleet, so much may be overdue and replaced at the same time; and always so many machines.
+constexpr double kReplacedShare = 0.2;
+constexpr std::size_t kAlwaysReplaced = 2;
+// A place that does not deliver is left alone for so long, at first and at most; then it is asked
+// for so many machines at a time.
+constexpr Millis kLeastPause{30000};
+constexpr Millis kMaxPause{300000};
+constexpr std::size_t kProbes = 2;
+// Before a machine is returned, in nominal times and besides; and where nothing else comes either,
+// so that waiting is as good as asking again, so many times as long.
+constexpr double kGiveUpBoots = 3.5;
+constexpr Millis kGiveUpMargin{20000};
+constexpr double kGiveUpLimits = 2;  // of what is learnt
+constexpr int kPatienceWhereNothingComes = 2;
+}  // namespace
+
+void BootTimeEstimate::observe(double boot_s, double nominal_s) {
+    if (!learnt) {
+        mean_s = nominal_s;
+        deviation_s = kFirstDeviation * nominal_s;
+        learnt = true;
+    }
+    const double error = boot_s - mean_s;
+    mean_s += kMeanWeight * error;
+    deviation_s += kDeviationWeight * (std::abs(error) - deviation_s);
+}
+
+double BootTimeEstimate::limit_s(double nominal_s) const {
+    const double mean = learnt ? mean_s : nominal_s;
+    const double deviation = learnt ? deviation_s : kFirstDeviation * nominal_s;
+    return std::max(mean + kDeviations * deviation, kLeastLimit * nominal_s);
+}
+
+void StartupMonitor::reset() {
+    for (auto& [place, health] : places_) {
+        health.failing = false;
+        health.pause = Millis(0);
+        health.avoid_until = Instant{};
+    }
+}
+
+double StartupMonitor::nominal_s(const Machine& machine) const {
+    const auto* type = types_.find(machine.machine_type);
+    return type ? type->startup_s : kUnknownStartup_s;
+}
+
+const StartupMonitor::Health* StartupMonitor::find(const Machine& machine) const {
+    const auto it = places_.find({machine.machine_type, machine.zone});
+    return it == places_.end() ? nullptr : &it->second;
+}
+
+void StartupMonitor::update() {
+    for (auto& [place, health] : places_) health.starting = 0;
+    std::size_t fleet = 0;
+    for (auto& [host, machine] : ledger_.machines()) {
+        if (machine.cloud.deleting) continue;
+        ++fleet;
+        machine.worker.reported ? came_up(machine) : check_overdue(machine);
+    }
+    auto left = std::max(kAlwaysReplaced,
+                         static_cast<std::size_t>(kReplacedShare * static_cast<double>(fleet)));
+    for (auto& [host, machine] : ledger_.machines()) {
+        auto& cloud = machine.cloud;
+        cloud.replaced = cloud.overdue && !cloud.deleting && left > 0;
+        if (cloud.replaced) --left;
+    }
+}
+
+// Only of machines rented by this leader in this term is it known when they were.
+void StartupMonitor::came_up(Machine& machine) {
+    auto& cloud = machine.cloud;
+    if (!cloud.awaited && !cloud.overdue) return;
+    auto& health = places_[{machine.machine_type, machine.zone}];
+    const auto boot_s = to_seconds(port_.now() - cloud.rented_at);
+    if (cloud.awaited) health.estimate.observe(boot_s, nominal_s(machine));
+    cloud.awaited = cloud.overdue = false;
+    health.last_delivery = port_.now();
+    if (health.failing) {
+        port_.log(LogLevel::info, "event=place_delivers type={} zone={}", machine.machine_type,
+                  machine.zone);
+    }
+    health.failing = false;
+    health.pause = Millis(0);
+}
+
+void StartupMonitor::check_overdue(Machine& machine) {
+    auto& cloud = machine.cloud;
+    if (!cloud.starting || cloud.overdue) return;
+    auto& health = places_[{machine.machine_type, machine.zone}];
+    const auto limit = from_seconds(health.estimate.limit_s(nominal_s(machine)));
+    if (port_.now() - cloud.rented_at <= limit) {
+        ++health.starting;
+        return;
+    }
+    cloud.overdue = true;
+    became_overdue(machine);
+}
+
+// The many machines of one request are overdue in the same moment: they count as one failure.
+void StartupMonitor::became_overdue(const Machine& machine) {
+    port_.log(LogLevel::info, "event=machine_overdue host={} type={} zone={} after_s={:.0f}",
+              machine.host.get(), machine.machine_type, machine.zone,
+              to_seconds(port_.now() - machine.cloud.rented_at));
+    auto& health = places_[{machine.machine_type, machine.zone}];
+    if (health.last_delivery >= machine.cloud.rented_at) return;
+    health.failing = true;
+    if (port_.now() < health.avoid_until) return;
+    health.pause = std::clamp(health.pause * 2, kLeastPause, kMaxPause);
+    health.avoid_until = port_.now() + health.pause;
+}
+
+bool StartupMonitor::to_replace(const Machine& machine) const { return machine.cloud.replaced; }
+
+Millis StartupMonitor::give_up_after(const Machine& machine) const {
+    const double nominal = nominal_s(machine);
+    const auto* health = find(machine);
+    const double learnt = health ? health->estimate.limit_s(nominal) : 0;
+    const auto limit = std::max(from_seconds(kGiveUpBoots * nominal) + kGiveUpMargin,
+                                from_seconds(kGiveUpLimits * learnt));
+    const bool others_came = health && health->last_delivery >= machine.cloud.rented_at;
+    return others_came ? limit : limit * kPatienceWhereNothingComes;
+}
+
+std::map<Market, std::size_t> StartupMonitor::allowances() const {
+    std::map<Market, std::size_t> out;
+    for (const auto& [place, health] : places_) {
+        if (!health.failing) continue;
+        const bool avoided = port_.now() < health.avoid_until;
+        const auto allowance = avoided ? 0 : kProbes - std::min(kProbes, health.starting);
+        for (const bool spot : {false, true}) {
+            out[{place.machine_type, place.zone, spot}] = allowance;
+        }
+    }
+    return out;
+}
+
+}  // namespace dunebridge::provisioning
--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -98,7 +98,7 @@
     const auto* team = config_.find_team(job.spec.team);
     if (!team) return 0;
     const auto& use = ledger_.use(job.spec.team);
-    std::size_t left = job.waiting.size();
+    std::size_t left = job.placeable();
     const auto limit = [&](double most, double used, double each) {
         if (most <= 0 || each <= 0) return;
         const double n = std::max(0.0, (most - used) / each + 1e-9);
@@ -161,7 +161,8 @@
     Job& job = *waiting.job;
     auto left = quota_left(job);
     left -= fill(job, left);
-    if (!waiting_list_.high(job) || left == 0) return;
+    // A job that fails everywhere stops no other's task.
+    if (!waiting_list_.high(job) || left == 0 || job.failures.faulty) return;
     const auto latest = waiting_list_.start_by(waiting);
     if (port_.now() < latest) {
         port_.wake_at(latest);
--- a/src/scheduler/waiting_list.cpp
+++ b/src/scheduler/waiting_list.cpp
@@ -45,7 +45,8 @@
             port_.wake_at(job.retry_at);
             continue;
         }
-        const bool aged = !job.begun() && port_.now() - job.ready_at > kAged;
+        const bool aged =
+            !job.begun() && !job.failures.faulty && port_.now() - job.ready_at > kAged;
         out.push_back({&job, false, aged, due(job), {}});
     }
     if (out.empty()) return out;
--- /dev/null
+++ b/src/workers/failure_attribution.cpp
@@ -0,0 +1,107 @@
+#include "workers/failure_attribution.hpp"
+
+#include <algorithm>
+
+namespace dunebridge::workers {
+
+using core::Job;
+using core::LogLevel;
+using core::Machine;
+
+namespace {
+// Between a job's failures and its next start.
+constexpr Millis kLeastPause{1000};
+constexpr Millis kMaxPause{30000};
+constexpr int kJitterPart = 4;  // of the pause, at most, so that faulty jobs do not return together
+// What a job that failed on a machine weighs against the machine: a job that has succeeded
+// elsewhere weighs more, and each of its first failures.
+constexpr std::uint32_t kUnprovenJob = 1;
+constexpr std::uint32_t kProvenJob = 2;
+constexpr std::uint32_t kFailuresThatCount = 2;
+constexpr std::uint32_t kEvidenceToBlameMachine = 3;
+// A job is at fault after failing on so many machines that nothing else tells against, or, where
+// nothing has ever succeeded, on so many of any kind.
+constexpr std::size_t kMachinesToBlameJob = 3;
+constexpr std::size_t kMachinesWithoutDoubt = 9;
+}  // namespace
+
+void FailureAttribution::succeeded(Job& job, Machine& machine) {
+    machine.worker.failures.clear();
+    clear_job(job);
+}
+
+void FailureAttribution::clear_job(Job& job) {
+    if (job.failures.faulty) {
+        port_.log(LogLevel::info, "event=job_recovered id={}", job.spec.id.get());
+        job.retry_at = port_.now();
+    }
+    job.failures = {};
+    job.pause = Millis(0);
+}
+
+void FailureAttribution::failed(Job& job, Machine& machine) {
+    pause(job);
+    if (job.failures.faulty) return;
+    job.failures.machines.insert(machine.host);
+    ++machine.worker.failures[job.spec.id];
+    if (failed_everywhere(job)) {
+        blame_job(job);
+    } else if (!machine.draining && evidence_against(machine) >= kEvidenceToBlameMachine) {
+        blame_machine(machine);
+    }
+}
+
+// Failures that come while the job pauses are of tasks started before: they do not count again.
+void FailureAttribution::pause(Job& job) {
+    if (port_.now() < job.retry_at) return;
+    job.pause = std::clamp(job.pause * 2, kLeastPause, kMaxPause);
+    job.retry_at = port_.now() + job.pause + port_.jitter(job.pause / kJitterPart);
+}
+
+std::uint32_t FailureAttribution::evidence_against(const Machine& machine) const {
+    std::uint32_t evidence = 0;
+    for (const auto& [id, failures] : machine.worker.failures) {
+        const auto* job = ledger_.find_job(id);
+        const bool proven = job && job->done > 0;
+        evidence += proven ? kProvenJob * std::min(failures, kFailuresThatCount) : kUnprovenJob;
+    }
+    return evidence;
+}
+
+bool FailureAttribution::failed_everywhere(const Job& job) const {
+    const auto& machines = job.failures.machines;
+    const auto undoubted = std::count_if(machines.begin(), machines.end(), [&](const auto& host) {
+        const auto* machine = ledger_.find_machine(host);
+        if (!machine || machine->draining) return false;
+        const auto& failures = machine->worker.failures;
+        return failures.empty() || (failures.size() == 1 && failures.contains(job.spec.id));
+    });
+    return static_cast<std::size_t>(undoubted) >= kMachinesToBlameJob ||
+           (job.done == 0 && machines.size() >= kMachinesWithoutDoubt);
+}
+
+void FailureAttribution::blame_job(Job& job) {
+    port_.log(LogLevel::info, "event=job_faulty id={} machines={}", job.spec.id.get(),
+              job.failures.machines.size());
+    job.failures.faulty = true;
+    job.failures.machines.clear();
+    for (auto& [host, machine] : ledger_.machines()) {
+        if (machine.worker.failures.erase(job.spec.id) > 0) withdraw_blame(machine);
+    }
+}
+
+void FailureAttribution::blame_machine(Machine& machine) {
+    machine.draining = true;
+    port_.log(LogLevel::info, "event=machine_faulty host={}", machine.host.get());
+    for (const auto& [id, failures] : machine.worker.failures) {
+        if (auto* job = ledger_.find_job(id)) job->failures.machines.erase(machine.host);
+    }
+}
+
+void FailureAttribution::withdraw_blame(Machine& machine) {
+    if (!machine.draining || evidence_against(machine) >= kEvidenceToBlameMachine) return;
+    machine.draining = false;
+    port_.log(LogLevel::info, "event=machine_cleared host={}", machine.host.get());
+}
+
+}  // namespace dunebridge::workers
--- a/src/workers/report_processor.cpp
+++ b/src/workers/report_processor.cpp
@@ -24,13 +24,6 @@
 namespace {
 // After a worker that refused a task as it had no room.
 constexpr Millis kRefusedPause{2000};
-// Between a job's failures and its next start.
-constexpr Millis kLeastPause{1000};
-constexpr Millis kMaxPause{30000};
-// A machine on which tasks of so many jobs fail in a row is faulty.
-constexpr std::size_t kJobsToCondemn = 2;
-// A job that failed on so many machines is likely to be at fault itself.
-constexpr std::size_t kMachinesToBlameJob = 3;
 
 bool lists(const Report& report, const Placement& placement) {
     return std::any_of(report.tasks.begin(), report.tasks.end(), [&](const TaskReport& task) {
@@ -48,7 +41,11 @@
 ReportProcessor::ReportProcessor(core::Port& port, cluster::Election& election,
                                  core::Ledger& ledger,
                                  std::function<void(const Finished&)> finished)
-    : port_(port), election_(election), ledger_(ledger), finished_(std::move(finished)) {}
+    : port_(port),
+      election_(election),
+      ledger_(ledger),
+      failures_(port, ledger),
+      finished_(std::move(finished)) {}
 
 bool ReportProcessor::of_this_term(const Placement& placement) const {
     return term_of(placement.attempt) == election_.term();
@@ -182,19 +179,18 @@
             if (placement.running_since != Instant{}) {
                 finished_({&job, &machine, to_seconds(port_.now() - placement.running_since)});
             }
-            machine.worker.errors.clear();
-            job.pause = Millis(0);
+            failures_.succeeded(job, machine);
             ledger_.mark_done(job, index);
             break;
         case ExitReason::error:
-            failed(machine, placement);
+            failures_.failed(job, machine);
             break;
         case ExitReason::full:
             machine.worker.refused_until = port_.now() + kRefusedPause;
             break;
         case ExitReason::busy:
         case ExitReason::unknown:
-            pause(job);
+            failures_.pause(job);
             break;
         default:
             if (placement.preempted) ledger_.mark_shielded(job, index);
@@ -202,24 +198,6 @@
     ledger_.remove(machine, {job.sequence, index});
 }
 
-// The job starts again after a pause that grows from one failure to the next.
-void ReportProcessor::pause(Job& job) {
-    job.pause = std::clamp(job.pause * 2, kLeastPause, kMaxPause);
-    job.retry_at = port_.now() + job.pause;
-}
-
-// Mostly the machine is faulty: then tasks of several jobs fail on it. A job with a mistake fails
-// on every machine, and must not condemn them one after the other.
-void ReportProcessor::failed(Machine& machine, Placement& placement) {
-    Job& job = *placement.job;
-    job.failed_on.insert(machine.host);
-    pause(job);
-    if (job.failed_on.size() < kMachinesToBlameJob) machine.worker.errors.insert(job.spec.id);
-    if (machine.worker.errors.size() < kJobsToCondemn || machine.draining) return;
-    machine.draining = true;
-    port_.log(LogLevel::info, "event=machine_faulty host={}", machine.host.get());
-}
-
 // ---- what the report lacks ----
 
 // It is proof only if no command of an older token, no direct command under way and no check-in
--- a/src/workers/report_processor.hpp
+++ b/src/workers/report_processor.hpp
@@ -18,6 +18,7 @@
 #include "core/model.hpp"
 #include "core/port.hpp"
 #include "wire/messages.hpp"
+#include "workers/failure_attribution.hpp"
 #include "workers/worker_state.hpp"
 
 namespace dunebridge::workers {
@@ -55,13 +56,12 @@
                   const wire::Report& report, Channel channel) const;
     bool forgotten_with_session(const core::Placement& placement, const wire::Report& report) const;
     void exited(core::Machine& machine, core::Placement& placement, const wire::TaskReport& task);
-    void failed(core::Machine& machine, core::Placement& placement);
-    void pause(core::Job& job);
     bool of_this_term(const core::Placement& placement) const;
 
     core::Port& port_;
     cluster::Election& election_;
     core::Ledger& ledger_;
+    FailureAttribution failures_;
     std::function<void(const Finished&)> finished_;
 };
 
--- a/tests/decisions_test.cpp
+++ b/tests/decisions_test.cpp
@@ -124,6 +124,27 @@
     EXPECT_TRUE(provisioning::plan(in).give_back.empty());
 }
 
+// A place that does not deliver machines is used for as many as it is allowed, then others are.
+TEST(Sizing, PlacesThatDoNotDeliverAreUsedLess) {
+    auto in = input();
+    in.demand = {demand(60, 4, 100)};
+    for (const auto& type : in.types) {
+        for (const bool spot : {false, true}) in.allowances[{type.name, "a", spot}] = 1;
+    }
+    std::size_t from_a = 0;
+    std::size_t from_b = 0;
+    for (const auto& rent : provisioning::plan(in).rent) {
+        (rent.market.zone == "a" ? from_a : from_b) += rent.count;
+    }
+    EXPECT_LE(from_a, 2u);  // one of each type
+    EXPECT_GT(from_b, 2u);
+    // Where there is nothing else it is asked all the same.
+    for (const auto& type : in.types) {
+        for (const bool spot : {false, true}) in.blocked.insert({type.name, "b", spot});
+    }
+    EXPECT_FALSE(provisioning::plan(in).rent.empty());
+}
+
 // Two nodes that hear each other's log, one a little later, must not keep an end in it for ever.
 TEST(CancellationLog, DoNotGoRoundBetweenNodes) {
     core::Config config;
--- /dev/null
+++ b/tests/failure_attribution_test.cpp
@@ -0,0 +1,155 @@
+// Faulty jobs and faulty machines are told apart, and neither verdict is final.
+#include "workers/failure_attribution.hpp"
+
+#include <gtest/gtest.h>
+
+#include "sim/ledger_fixture.hpp"
+
+namespace dunebridge::workers {
+namespace {
+
+struct Attribution : testing::Test {
+    sim::LedgerFixture world;
+    FailureAttribution attribution{world.port, world.ledger};
+
+    // The job fails on so many machines, each of which is new.
+    void fail_on_new_machines(core::Job& job, int count) {
+        for (int i = 0; i < count; ++i) attribution.failed(job, world.add_machine(++machines));
+    }
+    int machines = 100;
+};
+
+TEST_F(Attribution, AJobThatFailsOnSeveralMachinesIsAtFault) {
+    auto& job = world.add_job(1, 50);
+    fail_on_new_machines(job, 2);
+    EXPECT_FALSE(job.failures.faulty);
+    EXPECT_EQ(job.placeable(), 50u);
+    fail_on_new_machines(job, 1);
+    EXPECT_TRUE(job.failures.faulty);
+    EXPECT_EQ(job.placeable(), 2u);
+    for (const auto& [host, machine] : world.ledger.machines()) {
+        EXPECT_FALSE(machine.draining);
+        EXPECT_TRUE(machine.worker.failures.empty());
+    }
+}
+
+TEST_F(Attribution, AFaultyJobHasAFewTasksAtATime) {
+    auto& job = world.add_job(1, 50);
+    fail_on_new_machines(job, 3);
+    auto& machine = world.add_machine(1);
+    world.ledger.place(job, machine);
+    EXPECT_EQ(job.placeable(), 1u);
+    world.ledger.place(job, machine);
+    EXPECT_EQ(job.placeable(), 0u);
+}
+
+TEST_F(Attribution, AJobThatSucceedsAgainRunsAtFullWidthAtOnce) {
+    auto& job = world.add_job(1, 50);
+    fail_on_new_machines(job, 4);
+    ASSERT_TRUE(job.failures.faulty);
+    attribution.succeeded(job, world.add_machine(1));
+    EXPECT_FALSE(job.failures.faulty);
+    EXPECT_EQ(job.placeable(), 50u);
+    EXPECT_LE(job.retry_at, world.now);
+}
+
+TEST_F(Attribution, AMachineOnWhichSeveralJobsFailIsAtFault) {
+    auto& machine = world.add_machine(1);
+    for (int n = 1; n <= 3; ++n) {
+        EXPECT_FALSE(machine.draining);
+        attribution.failed(world.add_job(n), machine);
+    }
+    EXPECT_TRUE(machine.draining);
+}
+
+// One job alone shows a faulty machine, if the job succeeds on others.
+TEST_F(Attribution, AJobThatSucceedsElsewhereWeighsMore) {
+    auto& job = world.add_job(1, 50);
+    auto& machine = world.add_machine(1);
+    world.ledger.mark_done(job, 0);
+    attribution.failed(job, machine);
+    EXPECT_FALSE(machine.draining);
+    attribution.failed(job, machine);
+    EXPECT_TRUE(machine.draining);
+    EXPECT_FALSE(job.failures.faulty);
+}
+
+// Each alone would have drained the machines on which two faulty jobs happen to begin.
+TEST_F(Attribution, TwoFaultyJobsDoNotCondemnHealthyMachines) {
+    auto& first = world.add_job(1, 20);
+    auto& second = world.add_job(2, 20);
+    for (int n = 1; n <= 9; ++n) {
+        auto& machine = world.add_machine(n);
+        attribution.failed(first, machine);
+        attribution.failed(second, machine);
+    }
+    EXPECT_TRUE(first.failures.faulty);
+    EXPECT_TRUE(second.failures.faulty);
+    for (const auto& [host, machine] : world.ledger.machines()) EXPECT_FALSE(machine.draining);
+}
+
+TEST_F(Attribution, AFaultyMachineIsFoundWhileFaultyJobsAreAbout) {
+    auto& faulty_job = world.add_job(1, 20);
+    auto& machine = world.add_machine(1);
+    attribution.failed(faulty_job, machine);
+    fail_on_new_machines(faulty_job, 3);
+    ASSERT_TRUE(faulty_job.failures.faulty);
+    auto& healthy = world.add_job(2, 20);
+    world.ledger.mark_done(healthy, 0);
+    attribution.failed(healthy, machine);
+    attribution.failed(faulty_job, machine);  // says nothing about the machine any more
+    EXPECT_FALSE(machine.draining);
+    attribution.failed(healthy, machine);
+    EXPECT_TRUE(machine.draining);
+}
+
+// Three machines that fail everything do not make a job that runs there look faulty.
+TEST_F(Attribution, MachinesThatFailOtherJobsTooSayNothingAboutOne) {
+    auto& job = world.add_job(1, 20);
+    for (int n = 1; n <= 3; ++n) {
+        auto& machine = world.add_machine(n);
+        attribution.failed(world.add_job(10 + n), machine);
+        attribution.failed(job, machine);
+    }
+    EXPECT_FALSE(job.failures.faulty);
+}
+
+TEST_F(Attribution, AMachineIsClearedWhenTheEvidenceAgainstItIsAJobsFault) {
+    auto& machine = world.add_machine(1);
+    auto& job = world.add_job(1, 20);
+    attribution.failed(job, machine);
+    attribution.failed(world.add_job(2), machine);
+    attribution.failed(world.add_job(3), machine);
+    ASSERT_TRUE(machine.draining);
+    fail_on_new_machines(job, 3);
+    ASSERT_TRUE(job.failures.faulty);
+    EXPECT_FALSE(machine.draining);
+}
+
+TEST_F(Attribution, SuccessClearsTheMachine) {
+    auto& machine = world.add_machine(1);
+    attribution.failed(world.add_job(1), machine);
+    attribution.failed(world.add_job(2), machine);
+    attribution.succeeded(world.add_job(3), machine);
+    attribution.failed(world.add_job(4), machine);
+    EXPECT_FALSE(machine.draining);
+}
+
+// The tasks that fail together count once, and the job is still tried within 90 s.
+TEST_F(Attribution, PausesGrowToALimitAndOneWaveOfFailuresCountsOnce) {
+    auto& job = world.add_job(1, 50);
+    for (int n = 0; n < 20; ++n) attribution.pause(job);
+    EXPECT_LT(job.retry_at - world.now, Millis(1300));
+    Millis longest{0};
+    for (int n = 0; n < 12; ++n) {
+        world.pass(std::max(job.retry_at - world.now, Millis(0)));
+        attribution.pause(job);
+        EXPECT_GT(job.retry_at, world.now);
+        longest = std::max(longest, job.retry_at - world.now);
+    }
+    EXPECT_GE(longest, Millis(30000));
+    EXPECT_LE(longest, Millis(37500));
+}
+
+}  // namespace
+}  // namespace dunebridge::workers
--- /dev/null
+++ b/tests/startup_monitor_test.cpp
@@ -0,0 +1,136 @@
+// Machines that come up late or never are replaced within bounds, and places that do not deliver
+// are left alone for a while.
+#include "provisioning/startup_monitor.hpp"
+
+#include <gtest/gtest.h>
+
+#include "sim/ledger_fixture.hpp"
+
+namespace dunebridge::provisioning {
+namespace {
+
+constexpr double kNominal_s = 60;  // of a type that is not known
+
+struct Startups : testing::Test {
+    sim::LedgerFixture world;
+    CloudClient cloud{world.port, 5};
+    MachineTypes types{world.port, cloud};
+    StartupMonitor monitor{world.port, world.ledger, types};
+    int machines = 0;
+
+    core::Machine& rent(const std::string& zone = "a") {
+        auto& machine = world.add_machine(++machines, zone);
+        machine.cloud.awaited = true;
+        return machine;
+    }
+    void come_up(core::Machine& machine) {
+        machine.worker.reported = true;
+        machine.cloud.starting = false;
+        monitor.update();
+    }
+    std::size_t replaced() {
+        std::size_t count = 0;
+        for (const auto& [host, machine] : world.ledger.machines()) {
+            count += monitor.to_replace(machine) ? 1 : 0;
+        }
+        return count;
+    }
+    void pass(double seconds) {
+        world.pass(from_seconds(seconds));
+        monitor.update();
+    }
+};
+
+TEST_F(Startups, AMachineIsOverdueAfterTwiceTheNominalTimeAtFirst) {
+    auto& machine = rent();
+    pass(1.9 * kNominal_s);
+    EXPECT_FALSE(monitor.to_replace(machine));
+    EXPECT_TRUE(monitor.allowances().empty());
+    pass(0.2 * kNominal_s);
+    EXPECT_TRUE(monitor.to_replace(machine));
+}
+
+TEST_F(Startups, TheLimitFollowsWhatIsObserved) {
+    BootTimeEstimate slow;
+    BootTimeEstimate quick;
+    for (int n = 0; n < 60; ++n) {
+        slow.observe(4 * kNominal_s, kNominal_s);
+        quick.observe(2, kNominal_s);
+    }
+    EXPECT_GT(slow.limit_s(kNominal_s), 3.9 * kNominal_s);
+    // After a run of quick ones the usual time is still no failure.
+    EXPECT_DOUBLE_EQ(quick.limit_s(kNominal_s), 1.5 * kNominal_s);
+}
+
+TEST_F(Startups, ACloudThatIsSlowEverywhereStartsNoStormOfRentals) {
+    for (int n = 0; n < 100; ++n) rent(n % 2 ? "a" : "b");
+    pass(2.1 * kNominal_s);
+    EXPECT_EQ(replaced(), 20u);
+}
+
+TEST_F(Startups, APlaceThatDeliversNothingIsAskedLess) {
+    rent("a");
+    auto& other = rent("b");
+    pass(kNominal_s);
+    come_up(other);
+    pass(1.1 * kNominal_s);
+    const Market failing{"big", "a", true};
+    auto allowances = monitor.allowances();
+    ASSERT_TRUE(allowances.contains(failing));
+    EXPECT_EQ(allowances.at(failing), 0u);
+    EXPECT_FALSE(allowances.contains({"big", "b", true}));
+    pass(31);
+    // A probe, and not more until it has come.
+    EXPECT_EQ(monitor.allowances().at(failing), 2u);
+    rent("a");
+    auto& probe = rent("a");
+    monitor.update();
+    EXPECT_EQ(monitor.allowances().at(failing), 0u);
+    pass(kNominal_s);
+    come_up(probe);
+    EXPECT_TRUE(monitor.allowances().empty());
+}
+
+TEST_F(Startups, ThePauseDoublesWhileNothingComes) {
+    rent();
+    pass(2.1 * kNominal_s);
+    pass(31);
+    rent();
+    pass(2.1 * kNominal_s);
+    pass(50);
+    EXPECT_EQ(monitor.allowances().at({"big", "a", true}), 0u);
+    pass(11);
+    EXPECT_EQ(monitor.allowances().at({"big", "a", true}), 2u);
+}
+
+TEST_F(Startups, ALateMachineCountsAgainWhenItComes) {
+    auto& machine = rent();
+    pass(3 * kNominal_s);
+    ASSERT_TRUE(monitor.to_replace(machine));
+    come_up(machine);
+    EXPECT_FALSE(monitor.to_replace(machine));
+    EXPECT_TRUE(monitor.allowances().empty());
+}
+
+// What an earlier leader rented is judged by when it was rented, and says nothing of boot times.
+TEST_F(Startups, MachinesOfAnEarlierLeaderAreJudgedToo) {
+    auto& machine = world.add_machine(1);
+    machine.cloud.rented_at = world.now - from_seconds(3 * kNominal_s);
+    monitor.update();
+    EXPECT_TRUE(monitor.to_replace(machine));
+    come_up(machine);
+    EXPECT_FALSE(monitor.to_replace(machine));
+}
+
+TEST_F(Startups, AMachineIsGivenUpLaterWhereNothingElseComesEither) {
+    auto& late = rent("a");
+    auto& other = rent("a");
+    const auto alone = monitor.give_up_after(late);
+    EXPECT_GT(alone, from_seconds(6 * kNominal_s));
+    pass(kNominal_s);
+    come_up(other);
+    EXPECT_LT(monitor.give_up_after(late), from_seconds(4 * kNominal_s));
+}
+
+}  // namespace
+}  // namespace dunebridge::provisioning
