--- a/tests/sim/cloud_stand_in.hpp
+++ b/tests/sim/cloud_stand_in.hpp
@@ -40,6 +40,15 @@
         page_ = page;
     }
     std::uint64_t refusals() const { return refusals_; }
+    // Until then machines of the zone, or of all, take so many times as long to come up, or never
+    // do so, that share of them.
+    struct BootTrouble {
+        double factor = 1;
+        double never = 0;
+        std::string zone;  // empty: all
+        Instant until{};
+    };
+    void set_boot_trouble(BootTrouble trouble) { boot_trouble_ = std::move(trouble); }
     void set_capacity(std::size_t most) { most_machines_ = most; }
     // The machine vanishes without the service's wish.
     void take(const HostName& host);
@@ -47,9 +56,11 @@
     void fail(const HostName& host);
     const std::vector<wire::MachineType>& types() const { return types_; }
     std::size_t alive() const;
+    std::size_t rented() const { return machines_.size(); }
 
   private:
     bool over_rate();
+    bool boot_trouble_in(const std::string& zone) const;
     core::HttpReply rent(const std::string& body);
     core::HttpReply remove(const std::string& body);
     core::HttpReply list(const std::string& target);
@@ -59,6 +70,8 @@
     std::size_t most_machines_;
     Millis list_lag_;
     std::mt19937_64 rng_;
+    std::mt19937_64 trouble_rng_;  // its own, so that other days stay as they are
+    BootTrouble boot_trouble_;
     Events events_;
     bool outage_ = false;
     double rps_ = 0;  // 0: none
--- a/tests/sim/drawn.hpp
+++ b/tests/sim/drawn.hpp
@@ -29,4 +29,26 @@
     world.run();
 }
 
+// Days that join the troubles of bad nights with all others.
+inline Options drawn_night_options(std::uint64_t seed) {
+    auto options = drawn_options(seed);
+    options.troubles_s = 200;
+    options.finish_s = 2500;
+    if (seed % 2 == 0) options.mistaken_percent = 15;
+    if (seed % 3 == 1) options.guests = true;
+    return options;
+}
+
+inline void run_drawn_night(World& world) {
+    constexpr int meetings = 7;
+    for (int meeting = 0; meeting < meetings; ++meeting) {
+        world.run_for(Millis(15000));
+        world.any_bad_night();
+        world.run_for(Millis(800));
+        world.any_trouble();
+        if (meeting % 2 == 0) world.any_bad_night();
+    }
+    world.run();
+}
+
 }  // namespace dunebridge::sim
--- a/tests/sim/worker_stand_in.hpp
+++ b/tests/sim/worker_stand_in.hpp
@@ -28,6 +28,8 @@
     // The job's description, or null if it was never submitted.
     virtual const wire::JobSpec* description(const JobId& id) = 0;
     virtual Millis run_time(const TaskRef& task) = 0;
+    // The task's job was submitted with a mistake.
+    virtual bool fails(const TaskRef& task) = 0;
     virtual void task_started(const HostName& host, const TaskRef& task) = 0;
     virtual void task_completed(const TaskRef& task) = 0;
     // Sends a report to a node; the answer comes back through checkin_answered().
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -14,6 +14,7 @@
     c.teams = {{"red", 8 * size, 0, 24 * size, 0},
                {"blue", 8 * size, 0, 20 * size, 0},
                {"free", 0, 0, 0, 0}};
+    if (options.guests) c.teams.push_back({"guest", 0, 0, 0, 0});
     c.report = Millis(3000);
     c.lease = Millis(15000);
     c.cancel = Millis(40000);
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -48,6 +48,11 @@
     // One more job at the end of each pipeline, which also waits on so many of the other jobs.
     std::size_t fan_in = 0;
     state::Limits limits;
+    // So many percent of the jobs are submitted with a mistake: they fail on every machine until
+    // their users call them off.
+    unsigned mistaken_percent = 0;
+    // A team without a guarantee hands in a giant array, one-task jobs by the dozen, and idle work.
+    bool guests = false;
 };
 
 class World : public WorkerHost {
@@ -97,6 +102,16 @@
     // So many percent of the machines.
     void machines_unreached(Unreached how, unsigned percent, Millis span);
     void machines_die(unsigned percent);
+    // Machines rented from now on come up late, or never, that share of them; in the zone, or in
+    // all.
+    void boot_trouble(double factor, double never, Millis span, const std::string& zone = {}) {
+        cloud_.set_boot_trouble({factor, never, zone, clock_.now() + span});
+    }
+    // The node's process stands still while its clock runs on.
+    void stand_still(std::size_t node, Millis span);
+    void all_stand_still(Millis span);
+    // Users ask about their jobs so many times as often.
+    void poll_storm(int factor, Millis span);
     void crash_node(std::size_t node, Millis down) { crash(node % nodes_.size(), down); }
     void crash_all(Millis down);
     // Its process is killed and comes back with the newer version; one that dies before stays old.
@@ -115,8 +130,12 @@
     void cut_node(std::size_t node, Lost lost, bool held, Millis span);
     // Some of all that, by chance.
     void any_trouble();
+    // Of late or missing machines, silent and stopped controllers, and masses of polls, one.
+    void any_bad_night();
     // Starts later than a user was told that the job is cancelled.
     std::size_t starts_after_cancellation() const { return starts_after_cancellation_; }
+    // Those that were not on their way to the machine when the user was told.
+    std::size_t starts_long_after_cancellation() const { return starts_long_after_cancellation_; }
     std::size_t cancelled_told() const;
     std::size_t nodes() const { return nodes_.size(); }
     // The node that leads, or the number of nodes if none does.
@@ -139,9 +158,19 @@
     // behave alike give the same one for a seed (tests/digest.cpp); log lines do not count.
     std::size_t digest() const { return digest_; }
     std::string describe_left() const;
+    // What the controllers have cost so far.
+    struct Load {
+        double processor_s = 0;  // in their own code
+        double longest_step_s = 0;
+        std::size_t steps = 0;
+        std::size_t bytes = 0;  // of calls and answers
+    };
+    const Load& load() const { return load_; }
     const CloudStandIn& cloud() const { return cloud_; }
     // The least part of any class's or team's jobs, not cancelled, that is done.
     double least_served() const;
+    // Machines that the service has rented so far.
+    std::size_t machines_rented() const { return cloud_.rented(); }
     std::size_t machines_up() const;
 
   private:
@@ -178,6 +207,8 @@
         Instant began = Instant::max();
         std::set<std::uint32_t> completed;
         bool chained = false;
+        bool mistaken = false;
+        Instant last_start{};
         Instant could_start_since = Instant::max();
     };
 
@@ -187,6 +218,7 @@
     void command(std::size_t node, core::Command command);
     void step(std::size_t node);
     void add_to_digest(std::size_t node, const core::Effects& effects);
+    void add_to_load(double processor_s, const core::Effects& effects);
     bool unconnected(const std::string& endpoint);
     void call(std::size_t node, core::HttpCall call);
     void serve(std::size_t node, const core::HttpCall& call, StateStandIn::Reply reply);
@@ -199,6 +231,7 @@
     // Workers (WorkerHost).
     const wire::JobSpec* description(const JobId& id) override;
     Millis run_time(const TaskRef& task) override;
+    bool fails(const TaskRef& task) override { return users_.at(task.job).mistaken; }
     void task_started(const HostName& host, const TaskRef& task) override;
     void task_completed(const TaskRef& task) override;
     void send_checkin(const HostName& host, std::size_t node, const std::string& body) override;
@@ -209,6 +242,8 @@
     void make_users(int jobs);
     void make_flow();
     void make_pipelines();
+    void make_guests();
+    void make_mistakes();
     bool dependencies_accepted(const User& user) const;
     // The first moment at which a user was told that a job before this one is cancelled.
     Instant dependency_told_cancelled_at(const JobId& id) const;
@@ -256,6 +291,7 @@
     };
     Usage usage();
     bool could_start(const User& user, Usage& usage);
+    static bool starts_by_and_by(const User& user);
     bool strikes(const Chance& chance);
     Cut worker_cut(const HostName& host) const;
     void serve_late(const core::HttpCall& call);
@@ -283,6 +319,7 @@
     std::size_t starts_ = 0;
     std::size_t terms_ = 0;
     std::size_t digest_ = 0;
+    Load load_;
     std::size_t returned_with_tasks_ = 0;
     double lost_answers_ = 0;
     Instant troubles_end_{};
@@ -293,6 +330,7 @@
     Chance late_reports_;
     Chance cancel_at_end_;
     std::size_t starts_after_cancellation_ = 0;
+    std::size_t starts_long_after_cancellation_ = 0;
     int odd_requests_ = 0;
     Instant next_waiting_check_{};
     Instant next_ledger_check_{};
--- a/tests/sim/world_network.cpp
+++ b/tests/sim/world_network.cpp
@@ -1,6 +1,7 @@
 // The controllers of the simulated world, and all that passes between them and the others.
 #include <algorithm>
 #include <boost/functional/hash.hpp>
+#include <chrono>
 #include <cstdlib>
 #include <iostream>
 
@@ -78,7 +79,10 @@
     batch.swap(node.queue);
     const auto wall = kWallStart + clock_.now().time_since_epoch().count() +
                       static_cast<std::int64_t>(i) * 100 - 100;
+    const auto begun = std::chrono::steady_clock::now();
     auto effects = node.core->apply(std::move(batch), clock_.now(), wall);
+    const std::chrono::duration<double> taken = std::chrono::steady_clock::now() - begun;
+    add_to_load(taken.count(), effects);
     for (const auto& line : effects.logs) {
         if (line.text.find("event=elected") != std::string::npos) ++terms_;
         if (std::getenv("SIM_LOG")) {
@@ -104,6 +108,14 @@
     }
 }
 
+void World::add_to_load(double processor_s, const core::Effects& effects) {
+    ++load_.steps;
+    load_.processor_s += processor_s;
+    load_.longest_step_s = std::max(load_.longest_step_s, processor_s);
+    for (const auto& call : effects.calls) load_.bytes += call.body.size();
+    for (const auto& answer : effects.answers) load_.bytes += answer.body.size();
+}
+
 void World::add_to_digest(std::size_t node, const core::Effects& effects) {
     const auto add = [this](const auto& value) { boost::hash_combine(digest_, value); };
     for (const auto& call : effects.calls) {
--- a/tests/sim/world_rules.cpp
+++ b/tests/sim/world_rules.cpp
@@ -8,8 +8,14 @@
 
 using wire::JobPhase;
 
+namespace {
+// A start that left before the leader heard of the cancellation is still on its way for so long.
+constexpr Millis kInFlight{20};
+}  // namespace
+
 void World::task_started(const HostName& host, const TaskRef& task) {
     ++starts_;
+    users_.at(task.job).last_start = clock_.now();
     auto& began = users_.at(task.job).began;
     began = std::min(began, clock_.now());
     const auto& user = users_.at(task.job);
@@ -44,6 +50,7 @@
     }
     if (!dependencies_done(user)) broken("too_early", task.str());
     if (clock_.now() > user.told_cancelled_at) ++starts_after_cancellation_;
+    if (clock_.now() - user.told_cancelled_at > kInFlight) ++starts_long_after_cancellation_;
     if (clock_.now() - user.told_cancelled_at > config_.cancel) {
         broken("ran_cancelled", task.str() + " started");
     }
--- a/tests/sim/world_users.cpp
+++ b/tests/sim/world_users.cpp
@@ -43,6 +43,8 @@
         users_.emplace(s.id, std::move(user));
     }
     make_pipelines();
+    if (options_.guests) make_guests();
+    if (options_.mistaken_percent > 0) make_mistakes();
     for (auto& [id, user] : users_) plan_user(user);
     clock_.after(Millis(5000), [this] { ask_unknown(); });
 }
@@ -95,6 +97,53 @@
     }
 }
 
+// A team that no setting guarantees anything: one giant array, a swarm of one-task jobs, and idle
+// work that saves its progress.
+void World::make_guests() {
+    const auto add = [this](int number, Instant at, const char* job_class) -> wire::JobSpec& {
+        User user;
+        user.spec.id = JobId(fmt::format("req-8{:05}", number));
+        user.spec.job_class = job_class;
+        user.spec.team = "guest";
+        user.spec.priority = wire::Priority::idle;
+        user.spec.cores = 0.25;
+        user.spec.ram_gb = 0.5;
+        user.spec.image = "img-guest";
+        user.spec.image_gb = 0.5;
+        user.spec.spot_allowed = true;
+        user.submit_at = at;
+        return users_.emplace(user.spec.id, std::move(user)).first->second.spec;
+    };
+    constexpr std::uint32_t giant_tasks = 3000;
+    constexpr int swarm_jobs = 60;
+    const auto begin = clock_.now() + from_seconds(options_.troubles_s / 3);
+    auto& giant = add(0, begin, "giant");
+    giant.task_count = giant_tasks;
+    giant.expected_s = 4;
+    for (int n = 1; n <= swarm_jobs; ++n) {
+        auto& tiny = add(n, begin + Millis(250 * n), "swarm");
+        tiny.task_count = 1;
+        tiny.expected_s = 8;
+    }
+    auto& backfill = add(swarm_jobs + 1, clock_.now() + Millis(3000), "backfill");
+    backfill.task_count = 40;
+    backfill.cores = 1;
+    backfill.expected_s = 30;
+    backfill.checkpoint_every_s = 5;
+    backfill.checkpoint_s = 1;
+}
+
+void World::make_mistakes() {
+    for (auto& [id, user] : users_) {
+        if (!user.spec.waits_on.empty() || harsh_rng_() % 100 >= options_.mistaken_percent)
+            continue;
+        user.mistaken = true;
+        constexpr std::uint64_t spread_ms = 90000;
+        user.abort_at = user.submit_at + Millis(60000) +
+                        Millis(static_cast<std::int64_t>(harsh_rng_() % spread_ms));
+    }
+}
+
 bool World::dependencies_accepted(const User& user) const {
     return std::all_of(user.spec.waits_on.begin(), user.spec.waits_on.end(),
                        [&](const JobId& id) { return users_.at(id).accepted; });
