Reports are taken before polls; limits clear of 4,000 machines; returns of refused users are spread

A batch is worked through by urgency: replies, peers, reports, cancellations, submissions, polls. Unknown workers and the listen queue are bounded at 20,000 and 16,384 in place of about 4,000; a fleet larger than the socket limit is named in the log (too_few_sockets). Tests: Scripted.ReportsAreTakenBeforeMassesOfPolls.

--- a/src/api/job_service.cpp
+++ b/src/api/job_service.cpp
@@ -20,7 +20,9 @@
 // A state service that takes seconds is still of use: users wait 2 s for a poll's answer, 5 s for
 // the others'.
 constexpr Millis kGiveUp{1500};
+// Those that are sent away together come back spread over so many seconds.
 constexpr int kRetryAfter_s = 1;
+constexpr std::uint64_t kRetrySpread_s = 3;
 // A node's share of the writes; the leader's ledger has the larger part
 // (core/ledger_committer.cpp).
 constexpr double kWriteShare = 0.2;
@@ -102,7 +104,8 @@
 }
 
 void JobService::answer_unavailable(const PendingRequest& pending) {
-    port_.answer(pending.request, 503, wire::encode_error("try again"), kRetryAfter_s);
+    const auto spread = static_cast<int>(port_.random() % kRetrySpread_s);
+    port_.answer(pending.request, 503, wire::encode_error("try again"), kRetryAfter_s + spread);
 }
 
 bool JobService::answer_if_ended(const PendingRequest& pending) {
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -11,6 +11,25 @@
 constexpr Millis kScheduleEvery{50};
 constexpr Millis kScheduleMost{200};
 constexpr Millis kUpkeepEvery{250};
+
+// What is taken first of what has come together, the least first: what leases and leadership depend
+// on, then cancellations, submissions, and what is only asked.
+enum class Urgency : std::uint8_t { reply, peer, report, cancellation, submission, question };
+
+Urgency urgency_of(const Command& command) {
+    const auto* request = std::get_if<Request>(&command);
+    if (!request) return Urgency::reply;
+    if (request->plane == Plane::back) return Urgency::peer;
+    if (request->target == "/checkin") return Urgency::report;
+    if (request->method != "POST") return Urgency::question;
+    return request->target.ends_with("/abort") ? Urgency::cancellation : Urgency::submission;
+}
+
+void sort_by_urgency(std::vector<Command>& batch) {
+    std::stable_sort(batch.begin(), batch.end(), [](const Command& a, const Command& b) {
+        return urgency_of(a) < urgency_of(b);
+    });
+}
 }  // namespace
 
 Core::Core(Config config, std::uint64_t seed, LogLevel level)
@@ -42,6 +61,7 @@
     port_.reset_wake();
     if (rules_.step_back_after_stall(last_apply_)) follow_leadership();
     last_apply_ = now;
+    sort_by_urgency(batch);
     for (auto& command : batch) {
         if (auto* request = std::get_if<Request>(&command)) {
             handle(std::move(*request));
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -21,7 +21,7 @@
 constexpr std::size_t kKeptBuffer = std::size_t{16} * 1024;
 constexpr int kAcceptedAtOnce = 64;
 constexpr std::size_t kFirstBuffer = std::size_t{2} * 1024;  // most requests are read at once
-constexpr int kBacklog = 4096;  // every worker may return within the same second
+constexpr int kBacklog = 16384;  // every worker may return within the same second
 // The groups' shares of the places: fresh, worker, user.
 constexpr std::array<double, 3> kShares{0.05, 0.75, 0.2};
 // Above this part of all places, groups over their share keep no connection open.
--- a/src/provisioning/provisioner.cpp
+++ b/src/provisioning/provisioner.cpp
@@ -15,6 +15,7 @@
 constexpr Millis kResizeEvery{1000};
 constexpr Millis kObserveFirst{20000};  // a new leader returns no idle machines before
 constexpr double kLoadMemory_s = 45;
+constexpr Millis kWarnEvery{60000};
 constexpr double kNoLimit = 1e12;  // cores of a team that has none
 }  // namespace
 
@@ -154,6 +155,16 @@
     return input;
 }
 
+// Workers then share connections, each opened anew for its reports: that is slower, and costs
+// processor time.
+void Provisioner::warn_if_too_large(const SizingInput& input) {
+    const auto places = core::SocketBudget(config_.fd_limit).front;
+    if (input.machines.size() <= places || port_.now() < next_warning_) return;
+    next_warning_ = port_.now() + kWarnEvery;
+    port_.log(LogLevel::error, "event=too_few_sockets machines={} places={} fd_limit={}",
+              input.machines.size(), places, config_.fd_limit);
+}
+
 void Provisioner::log_sizing(const SizingInput& input, const SizingPlan& plan) const {
     double up_cores = 0;
     std::size_t index = 0;
@@ -174,6 +185,7 @@
     const auto input = sizing_input();
     const auto sizing = plan(input);
     log_sizing(input, sizing);
+    warn_if_too_large(input);
     for (const auto& rent : sizing.rent) rentals_.request(rent.market, rent.count);
     if (port_.now() < no_return_before_) return;
     std::vector<Machine*> machines;
--- a/src/provisioning/provisioner.hpp
+++ b/src/provisioning/provisioner.hpp
@@ -46,6 +46,7 @@
     std::vector<Demand> demand() const;
     Demand demand_of(const core::Job& job) const;
     bool fits_some_machine(const Demand& demand) const;
+    void warn_if_too_large(const SizingInput& input);
     void log_sizing(const SizingInput& input, const SizingPlan& plan) const;
 
     core::Port& port_;
@@ -63,6 +64,7 @@
     Instant next_resize_{};
     Instant no_return_before_{};
     Instant last_load_{};
+    Instant next_warning_{};
     double load_cores_ = 0;  // lately observed average of cores in use
 };
 
--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -42,6 +42,7 @@
     }
     machines_.clear();
     rooms_.clear();
+    full_machines_.clear();
     nowhere_.clear();
     exhausted_.clear();
     victims_.reset();
@@ -62,7 +63,11 @@
             machine.kept_for = 0;
         // Most machines are full most of the time.
         const double cores = machine.total.cores - machine.used.cores + machine.leaving.cores;
-        if (cores + 1e-6 >= least_cores && workers_.usable(machine)) add_room(machine);
+        if (cores + 1e-6 < least_cores) {
+            full_machines_.push_back(&machine);
+        } else if (workers_.usable(machine)) {
+            add_room(machine);
+        }
     }
 }
 
@@ -211,10 +216,8 @@
 // least work to lose.
 void Scheduler::find_victims() {
     victims_.emplace();
-    // The full machines, which find_rooms() passed over.
-    std::set<const Machine*> known(machines_.begin(), machines_.end());
-    for (auto& [host, machine] : ledger_.machines()) {
-        if (!known.contains(&machine) && workers_.usable(machine)) add_room(machine);
+    for (auto* machine : full_machines_) {
+        if (workers_.usable(*machine)) add_room(*machine);
     }
     for (std::size_t i = 0; i < rooms_.size(); ++i) {
         for (auto& [key, placement] : machines_[i]->tasks) {
--- a/src/scheduler/scheduler.hpp
+++ b/src/scheduler/scheduler.hpp
@@ -56,8 +56,9 @@
     // Of the pass under way.
     std::vector<core::Machine*> machines_;
     std::vector<Room> rooms_;
-    std::set<Kind> nowhere_;    // fit no machine now
-    std::set<Kind> exhausted_;  // nor does stopping others help them
+    std::vector<core::Machine*> full_machines_;  // without room for any waiting task
+    std::set<Kind> nowhere_;                     // fit no machine now
+    std::set<Kind> exhausted_;                   // nor does stopping others help them
     struct Victim {
         core::Placement* placement;
         std::size_t room;
--- a/src/workers/workers.cpp
+++ b/src/workers/workers.cpp
@@ -21,7 +21,9 @@
 constexpr Millis kLateMargin{500};
 constexpr Millis kRememberDeleted{900000};
 constexpr Millis kSweepEvery{250};
-constexpr std::size_t kMaxUnknownWorkers = 4000;
+// A bound on memory only, several times the largest fleet: after an answer of the cloud was lost,
+// or while the list is late, all machines may be unknown at once.
+constexpr std::size_t kMaxUnknownWorkers = 20000;
 constexpr Millis kForgetUnknownWorkers{60000};
 constexpr int kRetryAfter_s = 1;
 }  // namespace
--- a/tests/scripted_service_test.cpp
+++ b/tests/scripted_service_test.cpp
@@ -126,5 +126,36 @@
     EXPECT_EQ(s.phase(j.id), "pending");
 }
 
+// A report that came after a thousand polls in the same moment is answered before them: users who
+// ask in masses cost no worker its lease, and those that cannot be taken are told when to come
+// back.
+TEST(Scripted, ReportsAreTakenBeforeMassesOfPolls) {
+    core::Core core(Script::config(), 1, core::LogLevel::error);
+    std::vector<core::Command> batch;
+    constexpr std::uint64_t polls = 1000;
+    for (std::uint64_t i = 1; i <= polls; ++i) {
+        batch.push_back(core::Request{RequestId(i),
+                                      core::Plane::front,
+                                      "GET",
+                                      fmt::format("/v1/jobs/req-{:06}", i),
+                                      {},
+                                      false});
+    }
+    batch.push_back(core::Request{RequestId(polls + 1), core::Plane::front, "POST", "/checkin",
+                                  ScriptedWorker().next(), false});
+    const auto effects = core.apply(std::move(batch), Instant(Millis(5000)), 1700000000000);
+    ASSERT_FALSE(effects.answers.empty());
+    EXPECT_EQ(effects.answers.front().id, RequestId(polls + 1));
+    std::set<int> returns;
+    for (const auto& answer : effects.answers) {
+        if (answer.id == RequestId(polls + 1)) continue;
+        EXPECT_EQ(answer.status, 503);
+        returns.insert(answer.retry_after_s);
+    }
+    // At once, for those that no queue can hold, and not all for the same moment.
+    EXPECT_GE(effects.answers.size(), polls / 2);
+    EXPECT_GT(returns.size(), 1u);
+}
+
 }  // namespace
 }  // namespace dunebridge::sim
