--- a/src/state/store.cpp
+++ b/src/state/store.cpp
@@ -18,6 +18,10 @@
 constexpr Millis kProbeAfter{800};
 constexpr Millis kProbeTimeout{700};
 constexpr std::size_t kMaxPage = 500;
+constexpr int kTooManyRequests = 429;
+// A page that was refused for the rate is asked for again, so often in one list.
+constexpr Millis kPageRetry{100};
+constexpr int kMaxPageRefusals = 50;
 
 Row row_of(wire::Value row, const std::shared_ptr<Document>& document) {
     return {std::string(row["key"].text().value_or("")), document, row["value"],
@@ -229,8 +233,15 @@
     std::string target = "/kv?starts=" + prefix + "&page=500";
     if (!from.empty()) target += "&from=" + from;
     call("GET", target, {}, kListTimeout,
-         [this, prefix, so_far, first = from.empty(),
+         [this, prefix, from, so_far, first = from.empty(),
           then = std::move(then)](const HttpReply& reply) {
+             // Over its rate: the pages read so far are as good as before.
+             if (reply.status == kTooManyRequests && ++so_far->refusals <= kMaxPageRefusals) {
+                 port_.after(
+                     kPageRetry + port_.jitter(kPageRetry),
+                     [this, prefix, from, so_far, then] { list_page(prefix, from, so_far, then); });
+                 return;
+             }
              auto doc = reply.status == 200 ? Document::parse(reply.body) : std::nullopt;
              if (!doc || !doc->root()["rows"].is_list()) {
                  then(ListResult{});
--- a/src/state/store.hpp
+++ b/src/state/store.hpp
@@ -51,7 +51,8 @@
 struct ListResult {
     bool answered = false;
     std::vector<Row> rows;
-    KeyRev rev;  // of the first page: watching from here misses nothing
+    KeyRev rev;        // of the first page: watching from here misses nothing
+    int refusals = 0;  // of pages, for the rate
 };
 
 struct Change {
--- a/tests/bad_nights_test.cpp
+++ b/tests/bad_nights_test.cpp
@@ -7,6 +7,7 @@
 
 #include "sim/drawn.hpp"
 #include "sim/expect.hpp"
+#include "sim/fleet_day.hpp"
 #include "sim/world.hpp"
 
 namespace dunebridge::sim {
@@ -217,6 +218,55 @@
 INSTANTIATE_TEST_SUITE_P(Named, BadNightsInARollOut, testing::ValuesIn(kNights),
                          [](const auto& p) { return std::string(p.param.name); });
 
+// Hundreds of small jobs that are asked about by the thousand: what users ask stays within its part
+// of the state service's rate, so that two changes of leader cost two terms.
+TEST(MassesOfPolls, LeaveTheLeaderItsPartOfTheRate) {
+    auto options = night_options(3);
+    options.jobs = 400;
+    options.most_tasks = 1;
+    options.machines = 40;
+    World world(options);
+    world.run_for(s(110));
+    world.poll_storm(8, s(70));
+    for (int i = 0; i < 2; ++i) {
+        world.run_for(s(15));
+        world.crash_leader(s(4));
+    }
+    world.run_for(s(40));
+    EXPECT_EQ(world.terms(), 3u);
+    EXPECT_LT(world.state().refusals() * 100, world.state().requests());
+    world.run();
+    expect_over(world);
+}
+
+// A fleet of hundreds in CI; the same day at any size is `fleet MACHINES` (CONTRIBUTING.md).
+TEST(LargeFleet, KeepsItsTasksOverAChangeOfLeaderAndASilenceOfAll) {
+    World world(fleet_options(400));
+    const auto day = run_fleet_day(world);
+    expect_over(world);
+    EXPECT_GT(day.most_up, 300u);
+    EXPECT_EQ(day.killed_by_lease, 0u);
+    EXPECT_EQ(world.state().violations(), 0u);
+    EXPECT_LE(world.state().most_changes_in_a_second(), 140);
+}
+
+// Jobs with a mistake neither cost healthy machines nor draw new ones by the dozen.
+TEST(FaultyJobs, CostNoMachines) {
+    auto options = night_options(5);
+    options.jobs = 40;
+    options.machines = 30;
+    options.mistaken_percent = 25;
+    World world(options);
+    world.run();
+    expect_over(world);
+    EXPECT_EQ(world.returned_with_tasks(), 0u);
+    auto without = options;
+    without.mistaken_percent = 0;
+    World healthy(without);
+    healthy.run();
+    EXPECT_LT(world.machines_rented(), healthy.machines_rented() * 2);
+}
+
 // Days of these troubles and all older ones, drawn by a seed.
 class DrawnNights : public testing::TestWithParam<std::uint64_t> {};
 
--- a/tests/scripted_service_test.cpp
+++ b/tests/scripted_service_test.cpp
@@ -157,5 +157,22 @@
     EXPECT_GT(returns.size(), 1u);
 }
 
+// A service over its rate refuses some of the reads with which a term begins. Each refusal once
+// began a new term, and with it the whole load, which asked for as much again: 76 terms on one day.
+TEST(Scripted, ALoadGoesOnAfterReadsWereRefused) {
+    Script s(1);
+    s.run(Millis(3000));
+    for (int n = 1; n <= 120; ++n) ASSERT_EQ(s.submit(job(n)), 201);  // several pages
+    s.restart();
+    StateStandIn::Limits limits;
+    limits.rps = 6;
+    s.state().set_limits(limits);
+    const auto refused = s.state().refusals();
+    s.run(Millis(40000));
+    EXPECT_TRUE(s.leads());
+    EXPECT_GT(s.state().refusals(), refused + 2);
+    EXPECT_EQ(s.logged_times("event=elected"), 2u);  // once before the restart
+}
+
 }  // namespace
 }  // namespace dunebridge::sim
--- a/tests/sim/script.cpp
+++ b/tests/sim/script.cpp
@@ -231,9 +231,10 @@
                   [](const HttpReply&) {});
 }
 
-bool Script::logged(const std::string& what) const {
-    return std::any_of(logs_.begin(), logs_.end(),
-                       [&](const auto& line) { return line.find(what) != std::string::npos; });
+std::size_t Script::logged_times(const std::string& what) const {
+    return static_cast<std::size_t>(
+        std::count_if(logs_.begin(), logs_.end(),
+                      [&](const auto& line) { return line.find(what) != std::string::npos; }));
 }
 
 std::vector<std::string> Script::recorded_on(const JobId& id) const {
--- a/tests/sim/script.hpp
+++ b/tests/sim/script.hpp
@@ -54,7 +54,8 @@
     // Waits for the n-th machine to boot.
     ScriptedWorker machine(std::size_t n);
     bool returned(const HostName& host) const { return returned_.contains(host); }
-    bool logged(const std::string& what) const;
+    bool logged(const std::string& what) const { return logged_times(what) > 0; }
+    std::size_t logged_times(const std::string& what) const;
     // Hosts on which the job's tasks are on record.
     std::vector<std::string> recorded_on(const JobId& id) const;
     bool leads() const { return core_->leads(); }
