--- a/src/core/ledger_loader.cpp
+++ b/src/core/ledger_loader.cpp
@@ -87,57 +87,48 @@
     election_.resign(kStandAside);
 }
 
-void LedgerLoader::load_jobs(const state::ListResult& result) {
+// False if a record could not be read; the load has then been given up.
+bool LedgerLoader::take_rows(const state::ListResult& result,
+                             const std::function<void(const state::Row&)>& take) {
     for (const auto& row : result.rows) {
         try {
-            ledger_.add_job(state::decode_job_record(row.value), row.rev);
+            take(row);
         } catch (const wire::DecodeError& e) {
             bad_record(row.key, e.what());
-            return;
+            return false;
         }
     }
+    return true;
+}
+
+void LedgerLoader::load_jobs(const state::ListResult& result) {
+    take_rows(result, [this](const state::Row& row) {
+        ledger_.add_job(state::decode_job_record(row.value), row.rev);
+    });
 }
 
 // Parts of a job that was created after the jobs were read come with the watch.
 void LedgerLoader::load_dependencies(const state::ListResult& result) {
-    for (const auto& row : result.rows) {
+    take_rows(result, [this](const state::Row& row) {
         const auto name = without_prefix(row.key, kDependencies);
         auto* job = ledger_.find_job(JobId(name.substr(0, name.rfind('/'))));
-        if (!job) continue;
-        try {
-            take_dependency_part(*job, row);
-        } catch (const wire::DecodeError& e) {
-            bad_record(row.key, e.what());
-            return;
-        }
-    }
+        if (job) take_dependency_part(*job, row);
+    });
 }
 
 void LedgerLoader::load_rentals(const state::ListResult& result) {
-    for (const auto& row : result.rows) {
-        try {
-            if (row.key == state::kFormatMark && config_.format >= state::kRangeFormat) {
-                ledger_.restore_format(decode_format_mark(row.value, config_.format));
-            } else {
-                ledger_.restore_rental(decode_rental_record(row.value));
-            }
-            ledger_.stored().set(row.key, row.rev);
-        } catch (const wire::DecodeError& e) {
-            bad_record(row.key, e.what());
-            return;
+    take_rows(result, [this](const state::Row& row) {
+        if (row.key == state::kFormatMark && config_.format >= state::kRangeFormat) {
+            ledger_.restore_format(decode_format_mark(row.value, config_.format));
+        } else {
+            ledger_.restore_rental(decode_rental_record(row.value));
         }
-    }
+        ledger_.stored().set(row.key, row.rev);
+    });
 }
 
 void LedgerLoader::load_progress(const state::ListResult& result) {
-    for (const auto& row : result.rows) {
-        try {
-            load_progress_record(row);
-        } catch (const wire::DecodeError& e) {
-            bad_record(row.key, e.what());
-            return;
-        }
-    }
+    if (!take_rows(result, [this](const state::Row& row) { load_progress_record(row); })) return;
     for (auto& [id, job] : ledger_.jobs()) {
         complete_ranges(job, ledger_.format());
         std::erase_if(job.waiting, [&, &tasks = job.tasks](std::uint32_t i) {
--- a/src/core/ledger_loader.hpp
+++ b/src/core/ledger_loader.hpp
@@ -29,6 +29,8 @@
 
   private:
     void load_next(std::size_t step, std::uint64_t generation);
+    bool take_rows(const state::ListResult& result,
+                   const std::function<void(const state::Row&)>& take);
     void load_jobs(const state::ListResult& result);
     void load_dependencies(const state::ListResult& result);
     void load_rentals(const state::ListResult& result);
--- a/src/provisioning/machine_returns.cpp
+++ b/src/provisioning/machine_returns.cpp
@@ -24,6 +24,32 @@
 // For the command to save to arrive, and a notice that was too long.
 constexpr Millis kSaveMargin{3000};
 constexpr std::uint32_t kMissingLists = 2;
+
+const char* name_of(ReturnReason reason) {
+    switch (reason) {
+        case ReturnReason::idle:
+            return "idle";
+        case ReturnReason::drained:
+            return "drained";
+        case ReturnReason::stuck:
+            return "stuck";
+        case ReturnReason::failed:
+            return "failed";
+        case ReturnReason::taken:
+            return "taken";
+        case ReturnReason::unlisted:
+            return "unlisted";
+        case ReturnReason::unheard:
+            return "unheard";
+        case ReturnReason::silent:
+            return "silent";
+        case ReturnReason::unresponsive:
+            return "unresponsive";
+        case ReturnReason::cancelled_tasks:
+            return "cancelled_tasks";
+    }
+    return "";
+}
 }  // namespace
 
 MachineReturns::MachineReturns(core::Port& port, CloudClient& cloud, core::Ledger& ledger,
@@ -43,12 +69,12 @@
     next_deletion_ = Instant{};
 }
 
-void MachineReturns::give_up(Machine& machine, const char* why) {
+void MachineReturns::give_up(Machine& machine, ReturnReason why) {
     if (machine.cloud.deleting) return;
     machine.cloud.deleting = true;
     given_up_.insert(machine.host);
     port_.log(LogLevel::info, "event=machine_return host={} type={} tasks={} why={}",
-              machine.host.get(), machine.machine_type, machine.tasks.size(), why);
+              machine.host.get(), machine.machine_type, machine.tasks.size(), name_of(why));
 }
 
 void MachineReturns::check() {
@@ -85,48 +111,50 @@
     const auto* type = types_.find(machine.machine_type);
     if (type) machine.total = {type->cores, type->accelerators, type->ram_gb};
     if (!machine.worker.reported) {
-        const auto* why = why_give_up_unreported(machine);
-        if (why) give_up(machine, why);
+        const auto why = why_give_up_unreported(machine);
+        if (why) give_up(machine, *why);
         return;
     }
-    const auto* why = why_give_up_reported(machine);
-    if (why) give_up(machine, why);
+    const auto why = why_give_up_reported(machine);
+    if (why) give_up(machine, *why);
     save_tasks(machine);
-    if (holds_cancelled_tasks_too_long(machine)) give_up(machine, "cancelled_tasks");
+    if (holds_cancelled_tasks_too_long(machine)) give_up(machine, ReturnReason::cancelled_tasks);
 }
 
-// Of a machine that has not reported to this term's leader; null: it is kept.
-const char* MachineReturns::why_give_up_unreported(const Machine& machine) const {
+// Of a machine that has not reported to this term's leader; none: it is kept.
+std::optional<ReturnReason> MachineReturns::why_give_up_unreported(const Machine& machine) const {
     const auto now = port_.now();
     // A new leader has reports only from its own term's start on.
     const auto known = now - machine.worker.known_since;
     const bool unlisted = machine.cloud.missing_lists >= kMissingLists;
     if (!machine.tasks.empty()) {
-        if (unlisted && known > patience()) return "unlisted";
-        return known > (many_silent_ ? config_.lease * 2 : patience()) ? "unheard" : nullptr;
+        if (unlisted && known > patience()) return ReturnReason::unlisted;
+        if (known <= (many_silent_ ? config_.lease * 2 : patience())) return std::nullopt;
+        return ReturnReason::unheard;
     }
     // Deleted by an earlier leader that did not see it confirmed: the machine list is late.
-    if (unlisted && known > config_.list_lag * 3 + kSilentMargin) return "unlisted";
-    if (known <= kUnreportedIdle) return nullptr;
-    if (!machine.cloud.starting) return "unheard";
+    if (unlisted && known > config_.list_lag * 3 + kSilentMargin) return ReturnReason::unlisted;
+    if (known <= kUnreportedIdle) return std::nullopt;
+    if (!machine.cloud.starting) return ReturnReason::unheard;
     const bool stuck = now - machine.cloud.rented_at > startups_.give_up_after(machine);
-    return stuck ? "stuck" : nullptr;
+    return stuck ? std::optional(ReturnReason::stuck) : std::nullopt;
 }
 
-// Of a machine that has reported to this term's leader; null: it is kept.
-const char* MachineReturns::why_give_up_reported(const Machine& machine) const {
+// Of a machine that has reported to this term's leader; none: it is kept.
+std::optional<ReturnReason> MachineReturns::why_give_up_reported(const Machine& machine) const {
     const bool missed_two = workers_.silent(machine, config_.report * 2);
     const bool taken = machine.taken_at && port_.now() > *machine.taken_at;
-    if (taken && missed_two) return "taken";
+    if (taken && missed_two) return ReturnReason::taken;
     const bool unlisted = machine.cloud.listed && machine.cloud.missing_lists >= kMissingLists;
-    if (unlisted && missed_two) return "unlisted";
+    if (unlisted && missed_two) return ReturnReason::unlisted;
     // No command reaches it, and its lease ends by itself.
-    if (workers_.unresponsive_for(machine) > patience()) return "unresponsive";
+    if (workers_.unresponsive_for(machine) > patience()) return ReturnReason::unresponsive;
     // More likely this node's own trouble than that of so many machines at once.
-    if (many_silent_ && !workers_.silent(machine, config_.lease * 2)) return nullptr;
+    if (many_silent_ && !workers_.silent(machine, config_.lease * 2)) return std::nullopt;
     const auto limit = machine.tasks.empty() ? config_.lease : patience();
-    if (workers_.silent(machine, limit)) return "silent";
-    return machine.draining && machine.tasks.empty() ? "drained" : nullptr;
+    if (workers_.silent(machine, limit)) return ReturnReason::silent;
+    const bool drained = machine.draining && machine.tasks.empty();
+    return drained ? std::optional(ReturnReason::drained) : std::nullopt;
 }
 
 // Tasks of cancelled jobs must be gone in time, whether the machine can be reached or not.
--- a/src/provisioning/machine_returns.hpp
+++ b/src/provisioning/machine_returns.hpp
@@ -4,6 +4,8 @@
 // the way out where nothing else can prove it.
 #pragma once
 
+#include <cstdint>
+#include <optional>
 #include <set>
 
 #include "core/config.hpp"
@@ -16,6 +18,20 @@
 
 namespace dunebridge::provisioning {
 
+// Why a machine is given up, as operators see it in the log (docs/operations.md).
+enum class ReturnReason : std::uint8_t {
+    idle,
+    drained,          // it was to get no more tasks, and has none left
+    stuck,            // it never came up
+    failed,           // the cloud says so
+    taken,            // by the cloud, as announced
+    unlisted,         // the cloud's list lacks it
+    unheard,          // it has not reported to this term's leader
+    silent,           // it reports no more
+    unresponsive,     // it reports, and acknowledges nothing
+    cancelled_tasks,  // tasks of a cancelled job are not confirmed gone
+};
+
 class MachineReturns {
   public:
     MachineReturns(core::Port& port, CloudClient& cloud, core::Ledger& ledger,
@@ -27,14 +43,14 @@
     // Looks for machines to be given up, now and then.
     void check();
     // The machine is to be deleted.
-    void give_up(core::Machine& machine, const char* why);
+    void give_up(core::Machine& machine, ReturnReason why);
     void send_deletions();
 
   private:
     void count_silent();
     void check_machine(core::Machine& machine);
-    const char* why_give_up_unreported(const core::Machine& machine) const;
-    const char* why_give_up_reported(const core::Machine& machine) const;
+    std::optional<ReturnReason> why_give_up_unreported(const core::Machine& machine) const;
+    std::optional<ReturnReason> why_give_up_reported(const core::Machine& machine) const;
     bool holds_cancelled_tasks_too_long(const core::Machine& machine) const;
     void save_tasks(core::Machine& machine);
     Millis patience() const;
--- a/src/provisioning/provisioner.cpp
+++ b/src/provisioning/provisioner.cpp
@@ -31,7 +31,7 @@
       startups_(port, ledger, types_),
       returns_(port, cloud_, ledger, workers, types_, startups_, config),
       list_(port, cloud_, ledger, workers, config,
-            [this](Machine& machine) { returns_.give_up(machine, "failed"); }),
+            [this](Machine& machine) { returns_.give_up(machine, ReturnReason::failed); }),
       rentals_(port, cloud_, election, ledger, workers, config) {}
 
 void Provisioner::reset() {
@@ -190,7 +190,8 @@
     if (port_.now() < no_return_before_) return;
     std::vector<Machine*> machines;
     for (auto& [host, machine] : ledger_.machines()) machines.push_back(&machine);
-    for (const auto index : sizing.give_back) returns_.give_up(*machines[index], "idle");
+    for (const auto index : sizing.give_back)
+        returns_.give_up(*machines[index], ReturnReason::idle);
 }
 
 }  // namespace dunebridge::provisioning
