--- a/src/provisioning/startup_monitor.cpp
+++ b/src/provisioning/startup_monitor.cpp
@@ -25,12 +25,12 @@
 constexpr Millis kLeastPause{30000};
 constexpr Millis kMaxPause{300000};
 constexpr std::size_t kProbes = 2;
-// Before a machine is returned, in nominal times and besides; and where nothing else comes either,
-// so that waiting is as good as asking again, so many times as long.
-constexpr double kGiveUpBoots = 3.5;
+// Before a machine is returned, in nominal times and besides: at least, and at most. The longer
+// time is for places where nothing else comes either, so that waiting is as good as asking again,
+// and for those that are known to be slow. A machine that never comes is paid for until then.
+constexpr double kLeastGiveUpBoots = 3.5;
+constexpr double kMostGiveUpBoots = 6;
 constexpr Millis kGiveUpMargin{20000};
-constexpr double kGiveUpLimits = 2;  // of what is learnt
-constexpr int kPatienceWhereNothingComes = 2;
 }  // namespace
 
 void BootTimeEstimate::observe(double boot_s, double nominal_s) {
@@ -133,11 +133,11 @@
 Millis StartupMonitor::give_up_after(const Machine& machine) const {
     const double nominal = nominal_s(machine);
     const auto* health = find(machine);
-    const double learnt = health ? health->estimate.limit_s(nominal) : 0;
-    const auto limit = std::max(from_seconds(kGiveUpBoots * nominal) + kGiveUpMargin,
-                                from_seconds(kGiveUpLimits * learnt));
+    const auto most = from_seconds(kMostGiveUpBoots * nominal) + kGiveUpMargin;
     const bool others_came = health && health->last_delivery >= machine.cloud.rented_at;
-    return others_came ? limit : limit * kPatienceWhereNothingComes;
+    if (!others_came) return most;
+    const auto least = from_seconds(kLeastGiveUpBoots * nominal) + kGiveUpMargin;
+    return std::clamp(from_seconds(health->estimate.limit_s(nominal)), least, most);
 }
 
 std::map<Market, std::size_t> StartupMonitor::allowances() const {
--- a/tests/sim/troubles.cpp
+++ b/tests/sim/troubles.cpp
@@ -128,8 +128,11 @@
         if (!user.accepted) continue;
         for (int n = 1; n < factor; ++n) {
             if (harsh_rng_() % steps_between_polls != 0) continue;
-            ask_again(user, harsh_rng_() % nodes_.size(), "GET", "/v1/jobs/" + id.get(), {},
-                      "storm");
+            const Millis within(
+                static_cast<std::int64_t>(harsh_rng_() % static_cast<std::uint64_t>(step.count())));
+            clock_.after(within, [this, &user, node = harsh_rng_() % nodes_.size()] {
+                ask_again(user, node, "GET", "/v1/jobs/" + user.spec.id.get(), {}, "storm");
+            });
         }
     }
     clock_.after(step, [this, factor, rest = span - step] { poll_storm(factor, rest); });
