--- a/src/core/ledger_loader.cpp
+++ b/src/core/ledger_loader.cpp
@@ -90,13 +90,15 @@
 // False if a record could not be read; the load has then been given up.
 bool LedgerLoader::take_rows(const state::ListResult& result,
                              const std::function<void(const state::Row&)>& take) {
-    for (const auto& row : result.rows) {
-        try {
+    const state::Row* current = nullptr;
+    try {
+        for (const auto& row : result.rows) {
+            current = &row;
             take(row);
-        } catch (const wire::DecodeError& e) {
-            bad_record(row.key, e.what());
-            return false;
         }
+    } catch (const wire::DecodeError& e) {
+        bad_record(current->key, e.what());
+        return false;
     }
     return true;
 }
