Review case 2: polls of accepted jobs get 404 when the job cache evicts

The case shows that users who ask about their running jobs are told 404 while the state service answers slowly and other users submit pipelines. The confirmation of a poll looks the job up in the cache a second time, when the answer arrives, and takes an evicted entry for a job that does not exist.

--- /dev/null
+++ b/review/2/run.sh
@@ -0,0 +1,2 @@
+#!/bin/bash
+. "$(dirname "$0")/../run_case.sh"
