Log what the store confirmed when a job is called unknown

The read queue now keeps, for each request, the revision that its transaction required of the job record, and the debug event `job_unknown` names it and says whether the cache has an entry.

Behaviour is unchanged.

--- a/src/api/job_responder.cpp
+++ b/src/api/job_responder.cpp
@@ -45,17 +45,25 @@
     context_.respond(request.id, kHttpCreated, wire::encode(status));
 }
 
-void JobResponder::respond_confirmed(const JobRequest& request) {
+void JobResponder::respond_confirmed(const JobRequest& request, KeyRevision required_record) {
     const auto* known = cache_.find(request.job);
     if (known && known->record != KeyRevision()) {
         respond_open(request);
-    } else if (request.kind == RequestKind::rejected_submission) {
+        return;
+    }
+    log_unknown_job(request, required_record);
+    if (request.kind == RequestKind::rejected_submission) {
         context_.refuse(request.id, *request.refusal);
     } else {
         context_.refuse(request.id, RefusalReason::no_such_job);
     }
 }
 
+void JobResponder::log_unknown_job(const JobRequest& request, KeyRevision required_record) {
+    context_.log(sansio::LogLevel::debug, "event=job_unknown job={} required_revision={} cached={}",
+                 request.job.get(), required_record.get(), cache_.find(request.job) != nullptr);
+}
+
 void JobResponder::respond_open(const JobRequest& request) {
     const auto progress = get_progress_(request.job);
     const auto phase = progress.running > 0 ? JobPhase::running : JobPhase::pending;
--- a/src/api/job_responder.hpp
+++ b/src/api/job_responder.hpp
@@ -37,11 +37,14 @@
     /// Responds that the job has been created, with its state.
     void respond_created(const JobRequest& request, const wire::JobStatus& status);
     /// Responds with the cached state, open or unknown, which a transaction must have confirmed.
-    void respond_confirmed(const JobRequest& request);
+    /// `required_record` is the revision that the transaction required of the job record; 0: that
+    /// there is none.
+    void respond_confirmed(const JobRequest& request, KeyRevision required_record);
     /// Asks the user to retry after a delay with random jitter.
     void respond_unavailable(const JobRequest& request);
 
   private:
+    void log_unknown_job(const JobRequest& request, KeyRevision required_record);
     void respond_open(const JobRequest& request);
 
     sansio::Context& context_;
--- a/src/api/linearizable_read_queue.cpp
+++ b/src/api/linearizable_read_queue.cpp
@@ -19,30 +19,31 @@
 
 void LinearizableReadQueue::send() {
     BatchPreconditions preconditions(cache_);
-    std::vector<JobRequest> requests;
+    std::vector<Confirmation> confirmations;
     while (!queue_.empty() &&
            preconditions.max_size_with(queue_.front()) <= kv_client_.max_preconditions()) {
         auto request = std::move(queue_.front());
         queue_.pop_front();
         const auto* known = cache_.find(request.job);
-        preconditions.add(request, known ? known->record : KeyRevision());
-        requests.push_back(std::move(request));
+        const auto required_record = known ? known->record : KeyRevision();
+        preconditions.add(request, required_record);
+        confirmations.push_back({std::move(request), required_record});
     }
     ++in_flight_;
-    kv_client_.compare_and_swap(
-        preconditions.all(), {}, kReadTimeout,
-        [this, requests = std::move(requests)](const kv::TransactionResult& result) mutable {
-            --in_flight_;
-            handle_result(std::move(requests), result);
-        });
+    kv_client_.compare_and_swap(preconditions.all(), {}, kReadTimeout,
+                                [this, confirmations = std::move(confirmations)](
+                                    const kv::TransactionResult& result) mutable {
+                                    --in_flight_;
+                                    handle_result(std::move(confirmations), result);
+                                });
 }
 
-void LinearizableReadQueue::handle_result(std::vector<JobRequest> requests,
+void LinearizableReadQueue::handle_result(std::vector<Confirmation> confirmations,
                                           const kv::TransactionResult& result) {
     const FailedKeys failed(result.conflicting_keys.begin(), result.conflicting_keys.end());
-    for (auto& request : requests) {
+    for (auto& [request, required_record] : confirmations) {
         if (result.outcome == kv::TransactionOutcome::ok) {
-            responder_.respond_confirmed(request);
+            responder_.respond_confirmed(request, required_record);
         } else if (result.outcome == kv::TransactionOutcome::conflict) {
             handle_conflict(std::move(request), failed);
         } else {
--- a/src/api/linearizable_read_queue.hpp
+++ b/src/api/linearizable_read_queue.hpp
@@ -38,7 +38,15 @@
     void drop_front_while(const DropPredicate& drop);
 
   private:
-    void handle_result(std::vector<JobRequest> requests, const kv::TransactionResult& result);
+    /// A request in a transaction, with the revision that the transaction requires of its job
+    /// record; 0: that there is none.
+    struct Confirmation {
+        JobRequest request;
+        KeyRevision required_record;
+    };
+
+    void handle_result(std::vector<Confirmation> confirmations,
+                       const kv::TransactionResult& result);
     void handle_conflict(JobRequest request, const FailedKeys& failed);
 
     kv::KvClient& kv_client_;
