Answer a confirmed poll as the store has confirmed it, not as the cache is by then

Cause: the answer "open" or "unknown" is confirmed by a transaction that requires the revision of the job record which the cache held when the transaction was sent. When the store's answer arrived, JobResponder::respond_confirmed looked the job up in the cache again and took an absent entry for a job that does not exist. The cache evicts its oldest entries, also of jobs that are being asked about; a poll in flight at that moment was answered 404. Slow answers of the store make that time long.

Fix: the answer follows from the revision that the transaction has confirmed. A job that the cache knows to be accepted since then is open, too. The limits of the cache are part of the configuration (not of the settings files), so that tests can make it small; JobCache::record replaces four copies of the same lookup.

--- a/src/api/cancellation_service.cpp
+++ b/src/api/cancellation_service.cpp
@@ -24,11 +24,9 @@
 }
 
 void CancellationService::commit(JobRequest request) {
-    const auto* known = cache_.find(request.job);
     const auto terminal_key = kv::terminal_key(request.job);
     const std::vector<wire::Precondition> preconditions{
-        {kv::job_key(request.job), known ? known->record : KeyRevision()},
-        {terminal_key, KeyRevision()}};
+        {kv::job_key(request.job), cache_.record(request.job)}, {terminal_key, KeyRevision()}};
     const std::vector<wire::Write> writes{
         {terminal_key, cancellation_record(context_.wall_ms()), std::nullopt}};
     kv_client_.compare_and_swap(
--- a/src/api/job_cache.cpp
+++ b/src/api/job_cache.cpp
@@ -5,16 +5,16 @@
 
 namespace dunebridge::api {
 
-namespace {
-constexpr std::size_t kMaxJobs = 8000;
-constexpr std::size_t kMaxAncestors = 100000;  // about 6 MB of memory
-}  // namespace
-
 const JobCache::Entry* JobCache::find(const JobId& job) const {
     const auto it = entries_.find(job);
     return it == entries_.end() ? nullptr : &it->second;
 }
 
+KeyRevision JobCache::record(const JobId& job) const {
+    const auto* entry = find(job);
+    return entry ? entry->record : KeyRevision();
+}
+
 bool JobCache::is_known_done(const JobId& job) const {
     const auto* entry = find(job);
     return entry && entry->terminal && entry->terminal->phase == wire::JobPhase::done;
@@ -30,7 +30,7 @@
     const auto [it, added] = entries_.try_emplace(job);
     if (added) {
         insertion_order_.push_back(job);
-        if (entries_.size() > kMaxJobs) evict_oldest();
+        if (entries_.size() > limits_.max_jobs) evict_oldest();
     }
     return it->second;
 }
@@ -55,7 +55,8 @@
     ancestor_count_ += ancestors.size();
     ancestor_count_ -= kept.size();
     kept = std::move(ancestors);
-    while (ancestor_count_ > kMaxAncestors && insertion_order_.front() != job) evict_oldest();
+    while (ancestor_count_ > limits_.max_ancestors && insertion_order_.front() != job)
+        evict_oldest();
 }
 
 void JobCache::remove_ancestor(const JobId& job, const JobId& ancestor) {
--- a/src/api/job_cache.hpp
+++ b/src/api/job_cache.hpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "base/types.hpp"
+#include "config/job_cache_limits.hpp"
 #include "wire/messages.hpp"
 
 namespace dunebridge::api {
@@ -28,8 +29,12 @@
         std::optional<wire::JobStatus> terminal;
     };
 
+    explicit JobCache(const config::JobCacheLimits& limits) : limits_(limits) {}
+
     /// Returns the job's entry, or null if there is none. Valid until the cache is next changed.
     const Entry* find(const JobId& job) const;
+    /// Returns the revision of the job record; 0 if the job has none or there is no entry.
+    KeyRevision record(const JobId& job) const;
     /// Returns whether the job is known to be done; false if there is no entry.
     bool is_known_done(const JobId& job) const;
     /// Returns the job's ancestors; empty if there is no entry. Valid until the cache is next
@@ -51,6 +56,7 @@
     Entry& entry(const JobId& job);
     void evict_oldest();
 
+    const config::JobCacheLimits limits_;
     std::unordered_map<JobId, Entry> entries_;
     std::deque<JobId> insertion_order_;  ///< Jobs in entries_, oldest entry first.
     std::size_t ancestor_count_ = 0;     ///< Sum over all entries.
--- a/src/api/job_responder.cpp
+++ b/src/api/job_responder.cpp
@@ -45,13 +45,15 @@
     context_.respond(request.id, kHttpCreated, wire::encode(status));
 }
 
+// The transaction decides, not the cache, which may have evicted the job since the transaction was
+// sent. A job that has been accepted in the meantime is open, too.
 void JobResponder::respond_confirmed(const JobRequest& request, KeyRevision required_record) {
-    const auto* known = cache_.find(request.job);
-    if (known && known->record != KeyRevision()) {
+    const bool accepted_since = cache_.record(request.job) != KeyRevision();
+    if (required_record != KeyRevision() || accepted_since) {
         respond_open(request);
         return;
     }
-    log_unknown_job(request, required_record);
+    log_unknown_job(request);
     if (request.kind == RequestKind::rejected_submission) {
         context_.refuse(request.id, *request.refusal);
     } else {
@@ -59,9 +61,9 @@
     }
 }
 
-void JobResponder::log_unknown_job(const JobRequest& request, KeyRevision required_record) {
-    context_.log(sansio::LogLevel::debug, "event=job_unknown job={} required_revision={} cached={}",
-                 request.job.get(), required_record.get(), cache_.find(request.job) != nullptr);
+void JobResponder::log_unknown_job(const JobRequest& request) const {
+    context_.log(sansio::LogLevel::debug, "event=job_unknown job={} cached={}", request.job.get(),
+                 cache_.find(request.job) != nullptr);
 }
 
 void JobResponder::respond_open(const JobRequest& request) {
--- a/src/api/job_responder.hpp
+++ b/src/api/job_responder.hpp
@@ -36,15 +36,14 @@
     void respond_terminal(JobRequest request, const wire::JobStatus& terminal);
     /// Responds that the job has been created, with its state.
     void respond_created(const JobRequest& request, const wire::JobStatus& status);
-    /// Responds with the cached state, open or unknown, which a transaction must have confirmed.
-    /// `required_record` is the revision that the transaction required of the job record; 0: that
-    /// there is none.
+    /// Responds that the job is open or unknown, as a transaction has confirmed. `required_record`
+    /// is the revision that the transaction required of the job record; 0: that there is none.
     void respond_confirmed(const JobRequest& request, KeyRevision required_record);
     /// Asks the user to retry after a delay with random jitter.
     void respond_unavailable(const JobRequest& request);
 
   private:
-    void log_unknown_job(const JobRequest& request, KeyRevision required_record);
+    void log_unknown_job(const JobRequest& request) const;
     void respond_open(const JobRequest& request);
 
     sansio::Context& context_;
--- a/src/api/linearizable_read_queue.cpp
+++ b/src/api/linearizable_read_queue.cpp
@@ -24,8 +24,7 @@
            preconditions.max_size_with(queue_.front()) <= kv_client_.max_preconditions()) {
         auto request = std::move(queue_.front());
         queue_.pop_front();
-        const auto* known = cache_.find(request.job);
-        const auto required_record = known ? known->record : KeyRevision();
+        const auto required_record = cache_.record(request.job);
         preconditions.add(request, required_record);
         confirmations.push_back({std::move(request), required_record});
     }
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "base/types.hpp"
+#include "config/job_cache_limits.hpp"
 #include "config/kv_limits.hpp"
 #include "config/peer_address.hpp"
 #include "config/record_format.hpp"
@@ -56,6 +57,7 @@
     std::size_t fd_limit = 1024;  ///< Number of files, sockets included, that it may have open.
     /// @}
 
+    JobCacheLimits job_cache;
     Tuning tuning;
 
     static constexpr Millis kMinCancellationStaleness{2000};
--- a/tests/concurrent_fault_test.cpp
+++ b/tests/concurrent_fault_test.cpp
@@ -242,5 +242,19 @@
 }
 INSTANTIATE_TEST_SUITE_P(Seeds, RandomScenarios, testing::Range<std::uint64_t>(7000, 7024));
 
+// A cache of job states that evicts entries all the time: accepted jobs were called unknown when an
+// entry was evicted while a poll was in flight.
+class SmallJobCaches : public testing::TestWithParam<std::uint64_t> {};
+
+TEST_P(SmallJobCaches, InvariantsHoldAndJobsEnd) {
+    auto options = random_scenario_options(GetParam());
+    options.pipelines = 8;
+    options.job_cache = {.max_jobs = 8, .max_ancestors = 30};
+    SimulatedCluster cluster(options);
+    run_random_scenario(cluster, GetParam());
+    expect_completed(cluster);
+}
+INSTANTIATE_TEST_SUITE_P(Seeds, SmallJobCaches, testing::Range<std::uint64_t>(7100, 7106));
+
 }  // namespace
 }  // namespace dunebridge::sim
--- a/tests/sim/controller_harness.cpp
+++ b/tests/sim/controller_harness.cpp
@@ -161,6 +161,10 @@
                       wire::Document::parse(c.body)->root()["writes"].size() > 0;
     if (lost) {
         clock_.after(c.timeout, [done] { done(HttpResult(sansio::CallOutcome::no_response)); });
+    } else if (c.destination == Destination::kv_store && holds_answer_ && holds_answer_(c)) {
+        state_.handle(c.method, c.target, c.body, [this, done](const HttpResult& reply) {
+            held_answers_.push_back([done, reply] { done(reply); });
+        });
     } else if (c.destination == Destination::kv_store) {
         state_.handle(c.method, c.target, c.body, done);
     } else if (c.destination == Destination::cloud) {
@@ -181,12 +185,27 @@
     }
 }
 
+void ControllerHarness::release_answers() {
+    holds_answer_ = nullptr;
+    for (const auto& deliver : held_answers_) deliver();
+    held_answers_.clear();
+}
+
 sansio::HttpResponse ControllerHarness::request(const std::string& method,
                                                 const std::string& target,
                                                 const std::string& body) {
+    return wait_for_answer(begin_request(method, target, body));
+}
+
+RequestId ControllerHarness::begin_request(const std::string& method, const std::string& target,
+                                           const std::string& body) {
     const RequestId id(++next_request_);
     queue_.push_back(
         controller::Request{id, controller::Listener::front, method, target, body, false});
+    return id;
+}
+
+sansio::HttpResponse ControllerHarness::wait_for_answer(RequestId id) {
     for (int i = 0; i < 600 && !answers_.contains(id); ++i) run(kTurn);
     return answers_.contains(id) ? answers_.at(id) : sansio::HttpResponse{id, 0, {}, {}};
 }
--- a/tests/sim/controller_harness.hpp
+++ b/tests/sim/controller_harness.hpp
@@ -3,6 +3,7 @@
 /// the workers, message by message: for what must not happen between two messages.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -45,6 +46,11 @@
     /// Sends a request to the front listener. Status 0: no answer within three seconds.
     sansio::HttpResponse request(const std::string& method, const std::string& target,
                                  const std::string& body);
+    /// Sends a request to the front listener without waiting for the answer.
+    RequestId begin_request(const std::string& method, const std::string& target,
+                            const std::string& body);
+    /// Waits up to three seconds for the answer to the request. Status 0: there is none.
+    sansio::HttpResponse wait_for_answer(RequestId id);
     /// Submits the job and returns the status.
     int submit(const wire::JobSpec& job);
     /// The phase that the controller reports for the job; empty if it reports none.
@@ -77,6 +83,13 @@
     bool leads() const { return controller_->is_active_leader(); }
     /// While set, transactions that write are lost: they are neither carried out nor answered.
     void set_writes_lost(bool lost) { writes_lost_ = lost; }
+    /// Decides whether the answer to a call to the key-value store is held.
+    using HoldsAnswer = std::function<bool(const sansio::HttpCall&)>;
+    /// From now on, the key-value store carries out such calls at once, and the controller gets the
+    /// answers only when they are released.
+    void hold_answers(HoldsAnswer holds) { holds_answer_ = std::move(holds); }
+    /// Delivers the held answers and holds no further ones.
+    void release_answers();
     FakeKvStore& state() { return state_; }
     FakeCloud& cloud() { return cloud_; }
     /// Writes the key as another controller would.
@@ -103,6 +116,8 @@
     std::set<MachineName> scaled_in_;
     std::vector<std::string> logs_;
     bool writes_lost_ = false;
+    HoldsAnswer holds_answer_;
+    std::vector<std::function<void()>> held_answers_;
 };
 
 /// The status of the task that the command has started.
--- a/tests/sim/scenario_options.hpp
+++ b/tests/sim/scenario_options.hpp
@@ -39,6 +39,7 @@
     /// One more job at the end of each pipeline, which also depends on so many of the other jobs.
     std::size_t fan_in = 0;
     config::KvLimits limits;
+    config::JobCacheLimits job_cache;
     /// So many percent of the jobs fail on every machine until their users cancel them.
     unsigned failing_jobs_percent = 0;
     /// A team without a quota submits a giant array, one-task jobs by the dozen, and idle work.
--- a/tests/sim/simulation.cpp
+++ b/tests/sim/simulation.cpp
@@ -11,6 +11,7 @@
       config(make_config(scenario)),
       faults_end(clock.now() + from_seconds(scenario.faults_s)) {
     config.kv_limits = scenario.limits;
+    config.job_cache = scenario.job_cache;
     if (scenario.large_fleet) config.kv_limits = config::KvLimits({180, 70, 16, 48});
 }
 
