Test that copies of executed start commands start nothing again

A service like this one ran a task twice, and a cancelled one again: a start command that had been carried out and answered arrived at the machine once more after a controller or a machine had come back within a second.

RepeatedCommands lets every direct command that a worker has executed arrive four more times, from milliseconds to three leases later, while tasks fail and move, jobs are cancelled, the leader or all controllers are back within a second, machines hang for less than a second, and workers restart in a new epoch. After each step no task may be on a machine without being on record there, on two machines, or start after its cancellation.

A message that clears an attempt, or starts the task anew on the machine, carries a higher token than the command that started it, commands of an earlier leader have a lower token, and those for an earlier epoch are refused.

--- a/tests/sim/fake_worker.cpp
+++ b/tests/sim/fake_worker.cpp
@@ -44,6 +44,10 @@
 void FakeWorker::check_lease() {
     if (clock_.now() - lease_from_ <= config_.worker_lease) return;
     for (const auto& [task, t] : tasks_) killed_ += t.phase != TaskPhase::exited ? 1 : 0;
+    begin_epoch();
+}
+
+void FakeWorker::begin_epoch() {
     tasks_.clear();
     ++tenure_;
     lease_from_ = clock_.now();
--- a/tests/sim/fake_worker.hpp
+++ b/tests/sim/fake_worker.hpp
@@ -57,6 +57,8 @@
     void stop() { gone_ = true; }
     /// The process does nothing for the span; its lease expires all the same.
     void hang(Millis duration);
+    /// The process ends and is back at once: its tasks are gone, and a new epoch begins.
+    void restart() { begin_epoch(); }
     void set_notice(Instant at) { taken_at_ = at; }
     void set_faulty(bool faulty) { faulty_ = faulty; }
 
@@ -67,6 +69,7 @@
     bool hanging() const { return clock_.now() < hang_until_; }
     Instant hang_until() const { return hang_until_; }
     bool gone() const { return gone_; }
+    std::uint64_t agent_epoch() const { return tenure_; }
     std::uint64_t sequence() const { return sequence_; }
     std::size_t killed_by_lease() const { return killed_; }
 
@@ -87,6 +90,7 @@
     void tick();
     void advance();
     void check_lease();
+    void begin_epoch();
     void report();
     void changed() {
         report_at_ = std::min(report_at_, std::max(clock_.now(), last_sent_ + Millis(500)));
--- a/tests/sim/fault_injector.cpp
+++ b/tests/sim/fault_injector.cpp
@@ -122,6 +122,20 @@
     sim_.clock.after(step, [this, factor, rest = span - step] { poll_storm(factor, rest); });
 }
 
+void FaultInjector::restart_workers(unsigned percent) {
+    for (auto& [host, worker] : workers_) {
+        if (!worker->gone() && sim_.fault_rng() % 100 < percent) worker->restart();
+    }
+}
+
+void FaultInjector::fail_tasks(unsigned percent, Millis span) {
+    for (auto& [host, worker] : workers_) {
+        if (worker->gone() || sim_.fault_rng() % 100 >= percent) continue;
+        worker->set_faulty(true);
+        sim_.clock.after(span, [failing = worker.get()] { failing->set_faulty(false); });
+    }
+}
+
 void FaultInjector::inject_worker_fault(WorkerFault how, unsigned percent, Millis span) {
     for (auto& [host, w] : workers_) {
         if (w->gone() || sim_.fault_rng() % 100 >= percent) continue;
--- a/tests/sim/fault_injector.hpp
+++ b/tests/sim/fault_injector.hpp
@@ -77,6 +77,16 @@
     void delay_commands(Millis span) {
         network_.faults.commands_delayed_until = sim_.clock.now() + span;
     }
+    /// That share of the direct commands that a worker has executed and answered arrives again,
+    /// four times, up to three leases later.
+    void repeat_commands(double share, Millis span) {
+        network_.faults.repeated_commands = window(share, span);
+    }
+    /// The workers on machines with that probability, in percent, end and are back at once, in a
+    /// new epoch and without their tasks.
+    void restart_workers(unsigned percent);
+    /// Tasks fail on each machine with that probability, in percent.
+    void fail_tasks(unsigned percent, Millis span);
     /// A copy of that share of the heartbeats arrives again at some controller, up to three leases
     /// later.
     void duplicate_heartbeats(double share, Millis span) {
--- a/tests/sim/simulated_network.cpp
+++ b/tests/sim/simulated_network.cpp
@@ -65,14 +65,16 @@
     const auto deliver = [this, i, c, done, lose] {
         duplicate_request(i, c);
         const bool watch = c.target.starts_with("/watch");
-        serve(i, c, [this, i, service = c.destination, done, lose, watch](const HttpResult& reply) {
-            if (lose || link_fault(links_[i], service) != LinkFault::none) return;
-            const auto delay =
-                latency() + (service == Destination::kv_store ? kv_store_delay() : Millis(0));
-            // Open watches of a controller that is refused alone go on waiting.
-            if (watch && links_[i].refused) return;
-            sim_.clock.after(delay, [done, reply] { done(reply); });
-        });
+        serve(i, c,
+              [this, i, c, service = c.destination, done, lose, watch](const HttpResult& reply) {
+                  if (service == Destination::worker && reply.ok()) repeat_executed_command(c);
+                  if (lose || link_fault(links_[i], service) != LinkFault::none) return;
+                  const auto delay =
+                      latency() + (service == Destination::kv_store ? kv_store_delay() : Millis(0));
+                  // Open watches of a controller that is refused alone go on waiting.
+                  if (watch && links_[i].refused) return;
+                  sim_.clock.after(delay, [done, reply] { done(reply); });
+              });
     };
     if (fault == LinkFault::drop) return;
     if (c.destination == Destination::worker && sim_.clock.now() < faults.commands_delayed_until) {
@@ -95,6 +97,32 @@
                      [this, i, c] { serve(i, c, [](const HttpResult&) {}); });
 }
 
+// Copies of a direct command that was executed and answered arrive at the machine, from some
+// milliseconds to several leases later.
+void SimulatedNetwork::repeat_executed_command(const HttpCall& c) {
+    if (!sim_.occurs(faults.repeated_commands)) return;
+    const auto lease = static_cast<std::uint64_t>(sim_.config.worker_lease.count());
+    for (const auto longest : {std::uint64_t{300}, lease / 4, lease, 3 * lease}) {
+        const Millis delay(1 + static_cast<std::int64_t>(sim_.fault_rng() % longest));
+        sim_.clock.after(delay, [this, c] { deliver_repeated_command(c); });
+    }
+}
+
+void SimulatedNetwork::deliver_repeated_command(const HttpCall& c) {
+    const auto it = workers_.find(host_of(c.endpoint));
+    if (it == workers_.end() || it->second->gone()) return;
+    auto& worker = *it->second;
+    if (worker.hanging()) {
+        sim_.clock.at(worker.hang_until() + Millis(1), [this, c] { deliver_repeated_command(c); });
+        return;
+    }
+    const auto commands = wire::decode_commands(wire::Document::parse(c.body)->root());
+    const bool refused = !worker.commands(c.body).ok();
+    if (commands.agent_epoch != worker.agent_epoch()) return;
+    ++sim_.statistics.repeated_commands;
+    if (refused) ++sim_.statistics.repeated_commands_fenced;
+}
+
 Millis SimulatedNetwork::kv_store_delay() {
     if (sim_.clock.now() >= faults.kv_store_slow_until) return Millis(0);
     return Millis(
--- a/tests/sim/simulated_network.hpp
+++ b/tests/sim/simulated_network.hpp
@@ -40,6 +40,7 @@
     FaultWindow delayed_transactions;           ///< No response; carried out 2 to 12 s later.
     FaultWindow dropped_transaction_responses;  ///< Carried out at once; no response.
     FaultWindow duplicated_heartbeats;          ///< A copy arrives late at some controller.
+    FaultWindow repeated_commands;              ///< Executed direct commands arrive again.
 };
 
 /// Carries messages with a latency of 1 to 4 ms, subject to the faults set on it.
@@ -79,6 +80,8 @@
     void serve_worker(std::size_t i, const sansio::HttpCall& call, const FakeKvStore::Reply& reply);
     void carry_out_late(const sansio::HttpCall& call);
     void duplicate_request(std::size_t i, const sansio::HttpCall& call);
+    void repeat_executed_command(const sansio::HttpCall& call);
+    void deliver_repeated_command(const sansio::HttpCall& call);
     void duplicate_heartbeat(std::size_t i, const std::string& body);
 
     Simulation& sim_;
--- a/tests/sim/statistics.hpp
+++ b/tests/sim/statistics.hpp
@@ -25,6 +25,10 @@
     std::size_t starts_after_cancellation = 0;
     /// Those of them that were not on their way to the machine when the user was told.
     std::size_t starts_long_after_cancellation = 0;
+    /// Copies of executed direct commands that arrived for the current epoch of a worker, and those
+    /// of them that the worker refused because of their fencing token.
+    std::size_t repeated_commands = 0;
+    std::size_t repeated_commands_fenced = 0;
     /// Machines that the service scaled in while tasks were on them.
     std::size_t scaled_in_with_tasks = 0;
     ControllerCost controller_cost;
