Cache a job's record only together with its ancestors

Cause: for a job whose ancestors are in dependency parts, JobLookup put the revision of the job record into the cache, read the parts, and put the ancestors into the cache when the answer came. A poll that arrived between the two was confirmed against the record alone. The leader ends such jobs as well, so the answer is wrong only for as long as the leader has not done so.

Fix: JobCache::set_open takes both at once, after the last read; there is no entry to reset when that read fails.

Test: ManyAncestors.APollWhileThePartsAreReadKnowsOfACancellation got "pending" without the change to `src/api` (scratch copy), and passes with it.

--- a/src/api/job_cache.cpp
+++ b/src/api/job_cache.cpp
@@ -42,7 +42,12 @@
     insertion_order_.pop_front();
 }
 
-void JobCache::set_record(const JobId& job, KeyRevision record) { entry(job).record = record; }
+void JobCache::set_open(const JobId& job, KeyRevision record, std::vector<JobId> ancestors) {
+    entry(job).record = record;
+    set_ancestors(job, std::move(ancestors));
+}
+
+void JobCache::set_no_record(const JobId& job) { set_open(job, KeyRevision(), {}); }
 
 void JobCache::set_terminal(const JobId& job, const wire::JobStatus& terminal) {
     entry(job).terminal = terminal;
--- a/src/api/job_cache.hpp
+++ b/src/api/job_cache.hpp
@@ -43,17 +43,21 @@
 
     // The setters create the entry if there is none.
 
-    void set_record(const JobId& job, KeyRevision record);
+    /// Sets the revision of the job record and the ancestors, which must be complete: a response
+    /// that calls the job open is confirmed only against the ancestors that are cached. Those that
+    /// are known to be done are omitted.
+    void set_open(const JobId& job, KeyRevision record, std::vector<JobId> ancestors);
+    /// Sets that the job has no job record.
+    void set_no_record(const JobId& job);
     /// Also removes the job's ancestors, which are no longer needed.
     void set_terminal(const JobId& job, const wire::JobStatus& terminal);
-    /// Replaces the job's ancestors, omitting those that are known to be done.
-    void set_ancestors(const JobId& job, std::vector<JobId> ancestors);
 
     /// Does nothing if there is no entry for the job or it does not list the ancestor.
     void remove_ancestor(const JobId& job, const JobId& ancestor);
 
   private:
     Entry& entry(const JobId& job);
+    void set_ancestors(const JobId& job, std::vector<JobId> ancestors);
     void evict_oldest();
 
     const config::JobCacheLimits limits_;
--- a/src/api/job_lookup.cpp
+++ b/src/api/job_lookup.cpp
@@ -73,19 +73,17 @@
 
 void JobLookup::handle_job_record(const JobId& job, const kv::GetResult& result) {
     if (!result.entry) {
-        cache_.set_record(job, KeyRevision());
-        cache_.set_ancestors(job, {});
+        cache_.set_no_record(job);
         finish(job, Outcome::no_record);
         return;
     }
     try {
         const auto record = kv::decode_job_record(result.entry->value);
-        cache_.set_record(job, result.entry->rev);
         if (record.dependency_parts > 0) {
-            read_parts(job, record.dependency_parts);
+            read_parts(job, {result.entry->rev, record.dependency_parts});
             return;
         }
-        cache_.set_ancestors(job, record.ancestors);
+        cache_.set_open(job, result.entry->rev, record.ancestors);
     } catch (const wire::DecodeError& e) {
         fail_on_invalid_record(job, result.entry->key, e);
         return;
@@ -93,26 +91,23 @@
     finish(job, Outcome::has_record);
 }
 
-void JobLookup::read_parts(const JobId& job, std::uint64_t expected) {
-    kv_client_.list(kv::dependency_prefix(job), [this, job, expected](const kv::ListResult& parts) {
-        handle_parts(job, expected, parts);
+void JobLookup::read_parts(const JobId& job, SplitRecord record) {
+    kv_client_.list(kv::dependency_prefix(job), [this, job, record](const kv::ListResult& parts) {
+        handle_parts(job, record, parts);
     });
 }
 
 // The parts are created together with the job record, so some are missing only if the job has
-// become terminal. If the parts cannot be read, the cached revision of the job record is reset so
-// that the record is read again.
-void JobLookup::handle_parts(const JobId& job, std::uint64_t expected,
-                             const kv::ListResult& parts) {
-    if (!parts.available || parts.entries.size() != expected) {
-        cache_.set_record(job, KeyRevision());
+// become terminal. The cache gets the record only together with the ancestors: between the two, a
+// poll would be confirmed without them, and a job with a cancelled ancestor be called open.
+void JobLookup::handle_parts(const JobId& job, SplitRecord record, const kv::ListResult& parts) {
+    if (!parts.available || parts.entries.size() != record.parts) {
         finish(job, Outcome::unavailable);
         return;
     }
     try {
-        cache_.set_ancestors(job, jobs_in_dependency_parts(parts.entries));
+        cache_.set_open(job, record.revision, jobs_in_dependency_parts(parts.entries));
     } catch (const wire::DecodeError& e) {
-        cache_.set_record(job, KeyRevision());
         fail_on_invalid_record(job, parts.entries.front().key, e);
         return;
     }
--- a/src/api/job_lookup.hpp
+++ b/src/api/job_lookup.hpp
@@ -69,11 +69,17 @@
         std::vector<JobRequest> waiting;
     };
 
+    /// A job record whose ancestors are in dependency parts.
+    struct SplitRecord {
+        KeyRevision revision;
+        std::uint64_t parts = 0;  ///< Number of dependency parts.
+    };
+
     void send(const JobId& job);
     void handle_terminal_record(const JobId& job, const kv::GetResult& result);
     void handle_job_record(const JobId& job, const kv::GetResult& result);
-    void read_parts(const JobId& job, std::uint64_t expected);
-    void handle_parts(const JobId& job, std::uint64_t expected, const kv::ListResult& parts);
+    void read_parts(const JobId& job, SplitRecord record);
+    void handle_parts(const JobId& job, SplitRecord record, const kv::ListResult& parts);
     void fail_on_invalid_record(const JobId& job, const std::string& key,
                                 const wire::DecodeError& error);
     void finish(const JobId& job, JobLookupResult::Outcome outcome, wire::JobStatus terminal = {});
--- a/src/api/submission_queue.cpp
+++ b/src/api/submission_queue.cpp
@@ -105,8 +105,7 @@
         status.phase = JobPhase::cancelled;
         cache_.set_terminal(request.job, status);
     } else {
-        cache_.set_record(request.job, revision);
-        cache_.set_ancestors(request.job, request.submission.record.ancestors);
+        cache_.set_open(request.job, revision, request.submission.record.ancestors);
     }
     responder_.respond_created(request, status);
 }
--- a/tests/many_ancestors_test.cpp
+++ b/tests/many_ancestors_test.cpp
@@ -91,6 +91,36 @@
     EXPECT_EQ(s.phase(job(1).id), "withdrawn");
 }
 
+// Guards against "pending" for a job with a cancelled ancestor: a poll that arrived between the
+// reads of the job's record and of its parts was confirmed without the ancestors.
+TEST(ManyAncestors, APollWhileThePartsAreReadKnowsOfACancellation) {
+    auto config = small_limits();
+    config.job_cache.max_jobs = 2;
+    SmallLimitsHarness s(config);
+    const auto many = accepted_elsewhere(s, 100, 200);
+    const auto last = dependent_job(1, many);
+    ASSERT_EQ(s.submit(last), 201);
+    ASSERT_EQ(s.submit(job(2)), 201);
+    ASSERT_EQ(s.submit(job(3)), 201);  // evicts the first
+    s.state().set_watches_stalled(true);
+    end_elsewhere(s, many[77], wire::JobPhase::cancelled);
+    s.run(config.cancellation_deadline + Millis(1000));
+    s.hold_answers([](const sansio::HttpCall& call) {
+        return call.target.starts_with("/kv?") && call.target.find("dep/") != std::string::npos;
+    });
+    const auto first = s.begin_request("GET", "/v1/jobs/" + last.id.get(), {});
+    s.run(Millis(50));
+    const auto second = s.begin_request("GET", "/v1/jobs/" + last.id.get(), {});
+    s.run(Millis(50));
+    s.release_answers();
+    for (const auto poll : {first, second}) {
+        const auto answer = s.wait_for_answer(poll);
+        ASSERT_EQ(answer.status, 200);
+        const auto status = wire::Document::parse(answer.body);
+        EXPECT_EQ(status->root()["phase"].need_text("phase"), "withdrawn");
+    }
+}
+
 // A chain submitted one after the other, longer than any record or transaction can tell of.
 TEST(ManyAncestors, ALongChainIsCancelledWhole) {
     SmallLimitsHarness s;
