End a job that is accepted while its cancellation is confirmed as unknown

The user has to cancel again, and until then the job runs.

Cause: the cancellation of a job without a job record waits for a transaction to confirm that the job is unknown. If this node accepts the job meanwhile, the answer was that of a poll: the job is open.

Fix: the cancellation of a job that has been accepted meanwhile goes on to the transaction that ends the job.

Test: JobCacheEviction.ACancellationOfAJobAcceptedMeanwhileEndsIt got "pending" without the change to `src/api` (scratch copy), and passes with it.

--- a/src/api/linearizable_read_queue.cpp
+++ b/src/api/linearizable_read_queue.cpp
@@ -40,17 +40,30 @@
 void LinearizableReadQueue::handle_result(std::vector<Confirmation> confirmations,
                                           const kv::TransactionResult& result) {
     const FailedKeys failed(result.conflicting_keys.begin(), result.conflicting_keys.end());
-    for (auto& [request, required_record] : confirmations) {
+    for (auto& confirmation : confirmations) {
         if (result.outcome == kv::TransactionOutcome::ok) {
-            responder_.respond_confirmed(request, required_record);
+            handle_confirmed(std::move(confirmation));
         } else if (result.outcome == kv::TransactionOutcome::conflict) {
-            handle_conflict(std::move(request), failed);
+            handle_conflict(std::move(confirmation.request), failed);
         } else {
-            responder_.respond_unavailable(request);
+            responder_.respond_unavailable(confirmation.request);
         }
     }
 }
 
+// A cancellation is queued here only if its job had no job record. If the job has been accepted
+// since, the cancellation must end it: that the job is open is no answer to the user.
+void LinearizableReadQueue::handle_confirmed(Confirmation confirmation) {
+    auto& [request, required_record] = confirmation;
+    const bool accepted =
+        required_record != KeyRevision() || cache_.record(request.job) != KeyRevision();
+    if (request.kind == RequestKind::cancellation && accepted) {
+        pipeline_.commit_cancellation(std::move(request));
+    } else {
+        responder_.respond_confirmed(request, required_record);
+    }
+}
+
 // Only the reported keys are known to have changed. A request to which none of them applies
 // is retried: its list of terminal ancestors is empty, so resolve_ancestors() queues it again.
 void LinearizableReadQueue::handle_conflict(JobRequest request, const FailedKeys& failed) {
--- a/src/api/linearizable_read_queue.hpp
+++ b/src/api/linearizable_read_queue.hpp
@@ -47,6 +47,7 @@
 
     void handle_result(std::vector<Confirmation> confirmations,
                        const kv::TransactionResult& result);
+    void handle_confirmed(Confirmation confirmation);
     void handle_conflict(JobRequest request, const FailedKeys& failed);
 
     kv::KvClient& kv_client_;
--- a/tests/job_cache_test.cpp
+++ b/tests/job_cache_test.cpp
@@ -87,5 +87,20 @@
     EXPECT_EQ(s.wait_for_answer(id).status, 200);
 }
 
+// Guards against "pending" as the answer to a cancellation: the job was accepted while the
+// confirmation that it is unknown was under way.
+TEST(JobCacheEviction, ACancellationOfAJobAcceptedMeanwhileEndsIt) {
+    SmallCacheHarness s;
+    s.hold_answers(is_confirmation);
+    const auto id = s.begin_request("POST", "/v1/jobs/" + job(1).id.get() + "/abort", {});
+    s.run(kAnswerUnderWay);
+    ASSERT_EQ(s.submit(job(1)), 201);
+    s.release_answers();
+    const auto answer = s.wait_for_answer(id);
+    ASSERT_EQ(answer.status, 200);
+    const auto status = wire::Document::parse(answer.body);
+    EXPECT_EQ(status->root()["phase"].need_text("phase"), "withdrawn");
+}
+
 }  // namespace
 }  // namespace dunebridge::sim
