--- a/tests/command_delivery_test.cpp
+++ b/tests/command_delivery_test.cpp
@@ -54,6 +54,53 @@
     EXPECT_GT(reply.token, direct.commands.token);
 }
 
+// While a direct command is under way nothing is cleared, but a task may start anew beside its
+// exited attempt, which the worker then forgets: a repeat of the command that had started it is
+// refused.
+TEST(ControllerTest, StartingATaskAnewRefusesRepeatsOfTheCommandThatStartedItBefore) {
+    ControllerHarness s(1);
+    const auto first = job(1);
+    const TaskRef task{first.id, 0};
+    auto w = machine_for(s, first);
+    ASSERT_EQ(s.commands_in_flight().size(), 1u);
+    const auto direct = s.commands_in_flight()[0];
+    w.heartbeat.tasks.push_back(running_status(direct.commands.commands.at(0)));
+    s.answer(direct, 200, w.next_heartbeat());
+    s.run(Millis(60));
+    ASSERT_EQ(s.submit(job(2)), 201);
+    s.run(Millis(250));
+    ASSERT_EQ(s.commands_in_flight().size(), 1u);  // starts the second job; not answered
+    w.heartbeat.tasks.back().phase = TaskPhase::exited;
+    w.heartbeat.tasks.back().reason = ExitReason::stopped;
+    s.send_heartbeat(w.next_heartbeat());
+    s.run(Millis(400));  // the task is placed anew, and that is on record
+    ASSERT_EQ(s.commands_in_flight().size(), 1u);
+    const auto reply = s.send_heartbeat(w.next_heartbeat()).second;
+    ASSERT_NE(find(reply, CommandKind::start, task), nullptr);
+    EXPECT_EQ(find(reply, CommandKind::clear, task), nullptr);
+    EXPECT_GT(reply.token, direct.commands.token);
+}
+
+// The leader placed the attempt, and no longer knows which command started it: that may have been a
+// direct one, so what clears the attempt refuses its repeats.
+TEST(ControllerTest, ClearingAnAttemptWithoutAPlacementRefusesRepeats) {
+    ControllerHarness s(1);
+    auto w = machine_for(s, job(1));
+    ASSERT_EQ(s.commands_in_flight().size(), 1u);
+    const auto direct = s.commands_in_flight()[0];
+    const auto start = direct.commands.commands.at(0);
+    w.heartbeat.tasks.push_back(running_status(start));
+    s.answer(direct, 200, w.next_heartbeat());
+    s.run(Millis(60));
+    const TaskRef other{job(9).id, 0};  // of a job that is over
+    w.heartbeat.tasks.push_back(running_status({CommandKind::start, other, start.attempt}));
+    w.heartbeat.tasks.back().phase = TaskPhase::exited;
+    w.heartbeat.tasks.back().reason = ExitReason::stopped;
+    const auto reply = s.send_heartbeat(w.next_heartbeat()).second;
+    ASSERT_NE(find(reply, CommandKind::clear, other), nullptr);
+    EXPECT_GT(reply.token, direct.commands.token);
+}
+
 // The start went with a heartbeat's answer; a direct command that repeats it cannot be sent. That
 // one was not executed proves nothing about the other.
 TEST(ControllerTest, AnUnsentCommandDoesNotUndoTheAnswerBeforeIt) {
--- a/tests/repeated_command_test.cpp
+++ b/tests/repeated_command_test.cpp
@@ -17,68 +17,32 @@
 
 struct Scenario {
     const char* name;
-    void (*inject)(SimulatedCluster&);
+    /// Injects the faults of a round; `round` counts from 0.
+    void (*inject)(FaultInjector& faults, int round);
 };
 
 void PrintTo(const Scenario& scenario, std::ostream* out) { *out << scenario.name; }
 
-// What happens between a start command and its copies. Each scenario lasts about a minute.
+constexpr int kRounds = 10;
+
+// What happens between a start command and its copies. In each round a job is cancelled and tasks
+// fail, so that they start again, some on another machine.
 const Scenario kScenarios[] = {
-    {"TasksFailAndMove",
-     [](SimulatedCluster& w) {
-         for (int i = 0; i < 6; ++i) {
-             w.faults().fail_tasks(40, s(4));
-             w.run_for(s(10));
-         }
-     }},
-    {"JobsAreCancelled",
-     [](SimulatedCluster& w) {
-         for (int i = 0; i < 12; ++i) {
-             w.faults().cancel_running(2);
-             w.run_for(s(5));
-         }
-     }},
+    {"TasksMoveAndJobsAreCancelled", [](FaultInjector&, int) {}},
     {"TheLeaderIsBackWithinASecond",
-     [](SimulatedCluster& w) {
-         for (int i = 0; i < 12; ++i) {
-             w.faults().cancel_running(1);
-             w.faults().crash_leader(s(0.1 + 0.07 * i));
-             w.run_for(s(5));
-         }
-     }},
+     [](FaultInjector& faults, int round) { faults.crash_leader(s(0.1 + 0.08 * round)); }},
     {"AllControllersAreBackWithinASecond",
-     [](SimulatedCluster& w) {
-         for (int i = 0; i < 8; ++i) {
-             w.faults().cancel_running(1);
-             w.faults().crash_all(s(0.1 + 0.1 * i));
-             w.run_for(s(8));
-         }
-     }},
+     [](FaultInjector& faults, int round) { faults.crash_all(s(0.1 + 0.08 * round)); }},
     {"MachinesHangForLessThanASecond",
-     [](SimulatedCluster& w) {
-         for (int i = 0; i < 20; ++i) {
-             w.faults().cancel_running(i % 2);
-             w.faults().inject_worker_fault(WorkerFault::hung, 60, s(0.2 + 0.04 * i));
-             w.run_for(s(3));
-         }
-     }},
-    {"WorkersRestartAtOnce",
-     [](SimulatedCluster& w) {
-         for (int i = 0; i < 10; ++i) {
-             w.faults().cancel_running(1);
-             w.faults().restart_workers(40);
-             w.run_for(s(6));
-         }
+     [](FaultInjector& faults, int round) {
+         faults.inject_worker_fault(WorkerFault::hung, 60, s(0.1 + 0.08 * round));
      }},
-    {"LeaderAndWorkersRestartTogether",
-     [](SimulatedCluster& w) {
-         for (int i = 0; i < 8; ++i) {
-             w.faults().cancel_running(1);
-             w.faults().restart_workers(30);
-             w.faults().inject_worker_fault(WorkerFault::hung, 30, s(0.7));
-             w.faults().crash_leader(s(0.3));
-             w.run_for(s(8));
-         }
+    {"WorkersRestartAtOnce", [](FaultInjector& faults, int) { faults.restart_workers(40); }},
+    {"LeaderAndMachinesAreBackTogether",
+     [](FaultInjector& faults, int) {
+         faults.restart_workers(30);
+         faults.inject_worker_fault(WorkerFault::hung, 30, s(0.7));
+         faults.crash_leader(s(0.3));
      }},
 };
 
@@ -93,18 +57,25 @@
     options.fault_every_s = 0;
     options.faults_s = 150;
     options.drain_s = 2000;
-    options.jobs = 50;
+    options.jobs = 80;
     options.machines = 5;
     SimulatedCluster cluster(options);
     cluster.faults().repeat_commands(1, s(1000));
     cluster.run_for(s(45));
-    scenario.inject(cluster);
+    for (int round = 0; round < kRounds; ++round) {
+        cluster.faults().fail_tasks(40, s(4));
+        cluster.faults().cancel_running(1);
+        scenario.inject(cluster.faults(), round);
+        cluster.run_for(s(8));
+    }
     cluster.run();
     expect_completed(cluster);
-    EXPECT_EQ(cluster.statistics().starts_after_cancellation, 0u);
-    // The scenario has tried what it is about.
-    EXPECT_GT(cluster.statistics().repeated_commands, 100u);
-    EXPECT_GT(cluster.statistics().repeated_commands_fenced, 10u);
+    const auto& statistics = cluster.statistics();
+    EXPECT_EQ(statistics.starts_after_cancellation, 0u);
+    // The day has had the copies that it is about.
+    EXPECT_GT(statistics.repeated_commands_fenced, 100u);
+    EXPECT_GT(statistics.repeated_starts_after_move, 0u);
+    EXPECT_GT(statistics.repeated_starts_after_cancellation, 0u);
 }
 INSTANTIATE_TEST_SUITE_P(Named, RepeatedCommands,
                          testing::Combine(testing::ValuesIn(kScenarios),
--- a/tests/sim/fault_injector.hpp
+++ b/tests/sim/fault_injector.hpp
@@ -77,8 +77,8 @@
     void delay_commands(Millis span) {
         network_.faults.commands_delayed_until = sim_.clock.now() + span;
     }
-    /// That share of the direct commands that a worker has executed and answered arrives again,
-    /// four times, up to three leases later.
+    /// That share of the direct commands that a worker has executed and answered arrives again:
+    /// four times up to three leases later, and whenever the task has started on another machine.
     void repeat_commands(double share, Millis span) {
         network_.faults.repeated_commands = window(share, span);
     }
--- a/tests/sim/simulated_cluster.cpp
+++ b/tests/sim/simulated_cluster.cpp
@@ -27,6 +27,10 @@
     controllers_.set_transport([this](std::size_t index, sansio::HttpCall call) {
         network_.call(index, std::move(call));
     });
+    network_.set_on_repeated_command(
+        [this](const MachineName& host, const wire::CommandBatch& batch, bool refused) {
+            count_repeated_command(host, batch, refused);
+        });
     controllers_.boot_all();
     if (options.urgent_flow) {
         users_.add_urgent_flow();
@@ -63,6 +67,22 @@
     machines_[listing.host]->start();
 }
 
+void SimulatedCluster::count_repeated_command(const MachineName& host,
+                                              const wire::CommandBatch& batch, bool refused) {
+    auto& statistics = sim_.statistics;
+    ++statistics.repeated_commands;
+    if (refused) ++statistics.repeated_commands_fenced;
+    for (const auto& command : batch.commands) {
+        if (command.kind != wire::CommandKind::start) continue;
+        const bool moved = std::any_of(machines_.begin(), machines_.end(), [&](const auto& other) {
+            return other.first != host && other.second->has(command.task);
+        });
+        const auto cancelled_at = users_.at(command.task.job).cancellation_seen_at;
+        if (moved) ++statistics.repeated_starts_after_move;
+        if (cancelled_at < sim_.clock.now()) ++statistics.repeated_starts_after_cancellation;
+    }
+}
+
 void SimulatedCluster::enforce_site_limits() {
     constexpr std::size_t kv_page = 1000;
     constexpr std::size_t cloud_page = 500;
--- a/tests/sim/simulated_cluster.hpp
+++ b/tests/sim/simulated_cluster.hpp
@@ -58,6 +58,7 @@
     bool fails(const TaskRef& task) override { return users_.at(task.job).failing; }
     void task_started(const MachineName& host, const TaskRef& task) override {
         invariants_.task_started(host, task);
+        network_.repeat_commands_elsewhere(host, task);
     }
     void task_completed(const TaskRef& task) override { users_.task_completed(task); }
     void send_heartbeat(const MachineName& host, std::size_t node,
@@ -72,6 +73,8 @@
     FakeCloud::Events cloud_events();
     void start_worker(const wire::ListedMachine& listing);
     void enforce_site_limits();
+    void count_repeated_command(const MachineName& host, const wire::CommandBatch& batch,
+                                bool refused);
     void step_once(Instant limit);
 
     Simulation sim_;
--- a/tests/sim/simulated_network.cpp
+++ b/tests/sim/simulated_network.cpp
@@ -106,6 +106,21 @@
         const Millis delay(1 + static_cast<std::int64_t>(sim_.fault_rng() % longest));
         sim_.clock.after(delay, [this, c] { deliver_repeated_command(c); });
     }
+    for (const auto& command :
+         wire::decode_commands(wire::Document::parse(c.body)->root()).commands) {
+        if (command.kind == wire::CommandKind::start) executed_starts_[command.task].push_back(c);
+    }
+}
+
+void SimulatedNetwork::repeat_commands_elsewhere(const MachineName& host, const TaskRef& task) {
+    const auto it = executed_starts_.find(task);
+    if (it == executed_starts_.end()) return;
+    for (const auto& call : it->second) {
+        if (host_of(call.endpoint) == host) continue;
+        for (const Millis delay : {Millis(5), Millis(500), Millis(4000)}) {
+            sim_.clock.after(delay, [this, call] { deliver_repeated_command(call); });
+        }
+    }
 }
 
 void SimulatedNetwork::deliver_repeated_command(const HttpCall& c) {
@@ -118,9 +133,9 @@
     }
     const auto commands = wire::decode_commands(wire::Document::parse(c.body)->root());
     const bool refused = !worker.commands(c.body).ok();
-    if (commands.agent_epoch != worker.agent_epoch()) return;
-    ++sim_.statistics.repeated_commands;
-    if (refused) ++sim_.statistics.repeated_commands_fenced;
+    if (commands.agent_epoch == worker.agent_epoch()) {
+        on_repeated_command_(worker.host(), commands, refused);
+    }
 }
 
 Millis SimulatedNetwork::kv_store_delay() {
--- a/tests/sim/simulated_network.hpp
+++ b/tests/sim/simulated_network.hpp
@@ -3,6 +3,7 @@
 /// partitions, lost, delayed and duplicated messages.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -62,6 +63,18 @@
         worker_faults_[host] = {fault, until};
     }
 
+    /// A task has started on the machine: copies of the direct commands that started it on other
+    /// machines before arrive there.
+    void repeat_commands_elsewhere(const MachineName& host, const TaskRef& task);
+
+    /// Called with each copy of an executed direct command that arrives for the current epoch of
+    /// the worker; `refused`: because of its fencing token.
+    using OnRepeatedCommand =
+        std::function<void(const MachineName&, const wire::CommandBatch&, bool refused)>;
+    void set_on_repeated_command(OnRepeatedCommand observer) {
+        on_repeated_command_ = std::move(observer);
+    }
+
     NetworkFaults faults;
 
   private:
@@ -91,6 +104,9 @@
     Machines& workers_;
     std::vector<ControllerLinks> links_;
     std::map<MachineName, WorkerLink> worker_faults_;
+    OnRepeatedCommand on_repeated_command_;
+    /// The direct commands that started a task, while commands are repeated.
+    std::map<TaskRef, std::vector<sansio::HttpCall>> executed_starts_;
 };
 
 }  // namespace dunebridge::sim
--- a/tests/sim/statistics.hpp
+++ b/tests/sim/statistics.hpp
@@ -29,6 +29,10 @@
     /// of them that the worker refused because of their fencing token.
     std::size_t repeated_commands = 0;
     std::size_t repeated_commands_fenced = 0;
+    /// Start commands in those copies whose task was on another machine by then, and those whose
+    /// job's user had been told that it is cancelled.
+    std::size_t repeated_starts_after_move = 0;
+    std::size_t repeated_starts_after_cancellation = 0;
     /// Machines that the service scaled in while tasks were on them.
     std::size_t scaled_in_with_tasks = 0;
     ControllerCost controller_cost;
