--- a/src/api/linearizable_read_queue.cpp
+++ b/src/api/linearizable_read_queue.cpp
@@ -54,13 +54,13 @@
 // A cancellation is queued here only if its job had no job record. If the job has been accepted
 // since, the cancellation must end it: that the job is open is no answer to the user.
 void LinearizableReadQueue::handle_confirmed(Confirmation confirmation) {
-    auto& [request, required_record] = confirmation;
-    const bool accepted =
-        required_record != KeyRevision() || cache_.record(request.job) != KeyRevision();
+    auto request = std::move(confirmation.request);
+    const bool accepted = confirmation.required_record != KeyRevision() ||
+                          cache_.record(request.job) != KeyRevision();
     if (request.kind == RequestKind::cancellation && accepted) {
         pipeline_.commit_cancellation(std::move(request));
     } else {
-        responder_.respond_confirmed(request, required_record);
+        responder_.respond_confirmed(request, confirmation.required_record);
     }
 }
 
