Read the loader's member pointer once, before it is called

The index there is never above 3. The value comes from the compiler: for (this->*kSteps[i].apply)(row), GCC 12 evaluates the array element several times, and with -fsanitize=bounds keeps the index in a variable for each. On arm64, where a member pointer marks virtual functions in its offset, the variable used for the final read of the offset is set only on the path of virtual functions (seen in -fdump-tree-gimple of both targets; on x86-64 the path of other functions sets it). Only builds with the sanitizer are affected.

Change: the member pointer is copied out of the array before it is called.

The only other call through a member pointer, in transactions_test, takes it from a parameter. Behaviour is unchanged.

--- a/src/state/cluster_state_loader.cpp
+++ b/src/state/cluster_state_loader.cpp
@@ -55,9 +55,11 @@
         return;
     }
     if (step_index == 0) first_revision_ = result.rev;
-    const auto invalid = apply_entries(result.entries, [this, step_index](const kv::Entry& row) {
-        (this->*kSteps[step_index].apply)(row);
-    });
+    // The member pointer is read out of the array once, before the call: GCC 12 for arm64 with
+    // -fsanitize=bounds reads an array index within `->*` from an uninitialized variable.
+    const auto apply = kSteps[step_index].apply;
+    const auto invalid =
+        apply_entries(result.entries, [this, apply](const kv::Entry& row) { (this->*apply)(row); });
     if (invalid) {
         resign_over_invalid_record(context_, election_, *invalid);
         return;
