Decide in one place whether a confirmed request's job is accepted

LinearizableReadQueue and JobResponder both worked out from the required revision and the cache whether a job has been accepted, the one for cancellations and the other for polls. LinearizableReadQueue::is_accepted now decides for both; the responder has respond_open and respond_unknown.

--- a/src/api/job_responder.cpp
+++ b/src/api/job_responder.cpp
@@ -45,15 +45,9 @@
     context_.respond(request.id, kHttpCreated, wire::encode(status));
 }
 
-// The transaction decides, not the cache, which may have evicted the job since the transaction was
-// sent. A job that has been accepted in the meantime is open, too.
-void JobResponder::respond_confirmed(const JobRequest& request, KeyRevision required_record) {
-    const bool accepted_since = cache_.record(request.job) != KeyRevision();
-    if (required_record != KeyRevision() || accepted_since) {
-        respond_open(request);
-        return;
-    }
-    log_unknown_job(request);
+void JobResponder::respond_unknown(const JobRequest& request) {
+    context_.log(sansio::LogLevel::debug, "event=job_unknown job={} cached={}", request.job.get(),
+                 cache_.find(request.job) != nullptr);
     if (request.kind == RequestKind::rejected_submission) {
         context_.refuse(request.id, *request.refusal);
     } else {
@@ -61,11 +55,6 @@
     }
 }
 
-void JobResponder::log_unknown_job(const JobRequest& request) const {
-    context_.log(sansio::LogLevel::debug, "event=job_unknown job={} cached={}", request.job.get(),
-                 cache_.find(request.job) != nullptr);
-}
-
 void JobResponder::respond_open(const JobRequest& request) {
     const auto progress = get_progress_(request.job);
     const auto phase = progress.running > 0 ? JobPhase::running : JobPhase::pending;
--- a/src/api/job_responder.hpp
+++ b/src/api/job_responder.hpp
@@ -36,16 +36,15 @@
     void respond_terminal(JobRequest request, const wire::JobStatus& terminal);
     /// Responds that the job has been created, with its state.
     void respond_created(const JobRequest& request, const wire::JobStatus& status);
-    /// Responds that the job is open or unknown, as a transaction has confirmed. `required_record`
-    /// is the revision that the transaction required of the job record; 0: that there is none.
-    void respond_confirmed(const JobRequest& request, KeyRevision required_record);
+    /// Responds that the job has been accepted and is open, as a transaction must have confirmed.
+    void respond_open(const JobRequest& request);
+    /// Responds that the job was never accepted, as a transaction must have confirmed. A rejected
+    /// submission gets its refusal.
+    void respond_unknown(const JobRequest& request);
     /// Asks the user to retry after a delay with random jitter.
     void respond_unavailable(const JobRequest& request);
 
   private:
-    void log_unknown_job(const JobRequest& request) const;
-    void respond_open(const JobRequest& request);
-
     sansio::Context& context_;
     JobCache& cache_;
     GetProgress get_progress_;
--- a/src/api/linearizable_read_queue.cpp
+++ b/src/api/linearizable_read_queue.cpp
@@ -51,16 +51,22 @@
     }
 }
 
+// The transaction decides, not the cache, which may have evicted the job since the transaction was
+// sent. A job that has been accepted in the meantime is accepted, too.
+bool LinearizableReadQueue::is_accepted(const Confirmation& confirmation) const {
+    return confirmation.required_record != KeyRevision() ||
+           cache_.record(confirmation.request.job) != KeyRevision();
+}
+
 // A cancellation is queued here only if its job had no job record. If the job has been accepted
 // since, the cancellation must end it: that the job is open is no answer to the user.
 void LinearizableReadQueue::handle_confirmed(Confirmation confirmation) {
-    auto request = std::move(confirmation.request);
-    const bool accepted = confirmation.required_record != KeyRevision() ||
-                          cache_.record(request.job) != KeyRevision();
-    if (request.kind == RequestKind::cancellation && accepted) {
-        pipeline_.commit_cancellation(std::move(request));
+    if (!is_accepted(confirmation)) {
+        responder_.respond_unknown(confirmation.request);
+    } else if (confirmation.request.kind == RequestKind::cancellation) {
+        pipeline_.commit_cancellation(std::move(confirmation.request));
     } else {
-        responder_.respond_confirmed(request, confirmation.required_record);
+        responder_.respond_open(confirmation.request);
     }
 }
 
--- a/src/api/linearizable_read_queue.hpp
+++ b/src/api/linearizable_read_queue.hpp
@@ -47,6 +47,7 @@
 
     void handle_result(std::vector<Confirmation> confirmations,
                        const kv::TransactionResult& result);
+    bool is_accepted(const Confirmation& confirmation) const;
     void handle_confirmed(Confirmation confirmation);
     void handle_conflict(JobRequest request, const FailedKeys& failed);
 
