Tests: one type for named scenarios, one opening for tests of direct commands

The struct of named scenarios, its printer and the names of tests stood in three test files, and the opening 'a task runs that a direct command has started' in three tests. NamedScenario, name_with_seed and run_by_direct_command serve them all. The number of commands under way is now compared by EXPECT_EQ and .at(0), which fails as ASSERT_EQ did. The counter Statistics::repeated_commands, which nothing read, is gone.

--- a/tests/command_delivery_test.cpp
+++ b/tests/command_delivery_test.cpp
@@ -39,12 +39,7 @@
 // carries a token that refuses it.
 TEST(ControllerTest, ClearingRefusesRepeatsOfTheCommandThatStarted) {
     ControllerHarness s(1);
-    auto w = machine_for(s, job(1));
-    ASSERT_EQ(s.commands_in_flight().size(), 1u);
-    const auto direct = s.commands_in_flight()[0];
-    w.heartbeat.tasks.push_back(running_status(direct.commands.commands.at(0)));
-    s.answer(direct, 200, w.next_heartbeat());
-    s.run(Millis(60));
+    auto [w, direct] = run_by_direct_command(s, job(1));
     w.heartbeat.tasks.back().phase = TaskPhase::exited;
     w.heartbeat.tasks.back().reason = ExitReason::done;
     s.send_heartbeat(w.next_heartbeat());
@@ -61,12 +56,7 @@
     ControllerHarness s(1);
     const auto first = job(1);
     const TaskRef task{first.id, 0};
-    auto w = machine_for(s, first);
-    ASSERT_EQ(s.commands_in_flight().size(), 1u);
-    const auto direct = s.commands_in_flight()[0];
-    w.heartbeat.tasks.push_back(running_status(direct.commands.commands.at(0)));
-    s.answer(direct, 200, w.next_heartbeat());
-    s.run(Millis(60));
+    auto [w, direct] = run_by_direct_command(s, first);
     ASSERT_EQ(s.submit(job(2)), 201);
     s.run(Millis(250));
     ASSERT_EQ(s.commands_in_flight().size(), 1u);  // starts the second job; not answered
@@ -85,13 +75,8 @@
 // direct one, so what clears the attempt refuses its repeats.
 TEST(ControllerTest, ClearingAnAttemptWithoutAPlacementRefusesRepeats) {
     ControllerHarness s(1);
-    auto w = machine_for(s, job(1));
-    ASSERT_EQ(s.commands_in_flight().size(), 1u);
-    const auto direct = s.commands_in_flight()[0];
+    auto [w, direct] = run_by_direct_command(s, job(1));
     const auto start = direct.commands.commands.at(0);
-    w.heartbeat.tasks.push_back(running_status(start));
-    s.answer(direct, 200, w.next_heartbeat());
-    s.run(Millis(60));
     const TaskRef other{job(9).id, 0};  // of a job that is over
     w.heartbeat.tasks.push_back(running_status({CommandKind::start, other, start.attempt}));
     w.heartbeat.tasks.back().phase = TaskPhase::exited;
--- a/tests/compound_fault_test.cpp
+++ b/tests/compound_fault_test.cpp
@@ -3,10 +3,9 @@
 // checked after every step; in the end every job is in a terminal phase.
 #include <gtest/gtest.h>
 
-#include <ostream>
-
 #include "sim/expectations.hpp"
 #include "sim/large_fleet_scenario.hpp"
+#include "sim/named_scenario.hpp"
 #include "sim/random_scenarios.hpp"
 #include "sim/simulated_cluster.hpp"
 
@@ -17,13 +16,7 @@
 
 Millis s(double seconds) { return from_seconds(seconds); }
 
-struct Scenario {
-    const char* name;
-    void (*inject)(SimulatedCluster&);
-    void (*options)(ScenarioOptions&) = [](ScenarioOptions&) {};
-};
-
-void PrintTo(const Scenario& scenario, std::ostream* out) { *out << scenario.name; }
+using Scenario = NamedScenario<SimulatedCluster&>;
 
 void restart_in_turn(SimulatedCluster& cluster) {
     for (std::size_t node = 0; node < cluster.controllers().size(); ++node) {
@@ -190,10 +183,7 @@
 INSTANTIATE_TEST_SUITE_P(Named, CompoundFaults,
                          testing::Combine(testing::ValuesIn(kScenarios),
                                           testing::Range<std::uint64_t>(1, 4)),
-                         [](const auto& p) {
-                             return std::string(std::get<0>(p.param).name) + "_" +
-                                    std::to_string(std::get<1>(p.param));
-                         });
+                         name_with_seed<Scenario>);
 
 // A rolling upgrade from the version in production during each scenario.
 class CompoundFaultsDuringRollout : public testing::TestWithParam<Scenario> {};
--- a/tests/concurrent_fault_test.cpp
+++ b/tests/concurrent_fault_test.cpp
@@ -2,9 +2,8 @@
 // ones. Invariants are checked after every step; in the end every job is in a terminal phase.
 #include <gtest/gtest.h>
 
-#include <ostream>
-
 #include "sim/expectations.hpp"
+#include "sim/named_scenario.hpp"
 #include "sim/random_scenarios.hpp"
 #include "sim/simulated_cluster.hpp"
 
@@ -13,13 +12,7 @@
 
 using WorkerFault = FaultInjector::WorkerFault;
 
-struct Scenario {
-    const char* name;
-    void (*inject)(SimulatedCluster&);
-    void (*options)(ScenarioOptions&) = [](ScenarioOptions&) {};
-};
-
-void PrintTo(const Scenario& scenario, std::ostream* out) { *out << scenario.name; }
+using Scenario = NamedScenario<SimulatedCluster&>;
 
 Millis s(double seconds) { return from_seconds(seconds); }
 
@@ -227,10 +220,7 @@
 INSTANTIATE_TEST_SUITE_P(Named, ConcurrentFaults,
                          testing::Combine(testing::ValuesIn(kScenarios),
                                           testing::Range<std::uint64_t>(1, 4)),
-                         [](const auto& p) {
-                             return std::string(std::get<0>(p.param).name) + "_" +
-                                    std::to_string(std::get<1>(p.param));
-                         });
+                         name_with_seed<Scenario>);
 
 // Two or three faults of all kinds at a time, so that combinations which nobody named occur too.
 class RandomScenarios : public testing::TestWithParam<std::uint64_t> {};
--- a/tests/controller_fixtures.hpp
+++ b/tests/controller_fixtures.hpp
@@ -33,6 +33,21 @@
     }
 }
 
+/// A task runs on a machine that a direct command, which has been answered, told to start it.
+struct RunByDirectCommand {
+    HarnessWorker worker;
+    ControllerHarness::DirectCommand direct;
+};
+inline RunByDirectCommand run_by_direct_command(ControllerHarness& s, const wire::JobSpec& job) {
+    auto worker = machine_for(s, job);
+    EXPECT_EQ(s.commands_in_flight().size(), 1u);
+    const auto direct = s.commands_in_flight().at(0);
+    worker.heartbeat.tasks.push_back(running_status(direct.commands.commands.at(0)));
+    s.answer(direct, 200, worker.next_heartbeat());
+    s.run(Millis(60));
+    return {worker, direct};
+}
+
 /// The start of the second job's task is on its way twice: in a heartbeat's answer, and in a direct
 /// command that has no answer yet. The first job's task runs.
 struct StartSentTwice {
--- a/tests/repeated_command_test.cpp
+++ b/tests/repeated_command_test.cpp
@@ -3,9 +3,8 @@
 /// moved or its job was cancelled, and while controllers and machines are back within a second.
 #include <gtest/gtest.h>
 
-#include <ostream>
-
 #include "sim/expectations.hpp"
+#include "sim/named_scenario.hpp"
 #include "sim/simulated_cluster.hpp"
 
 namespace dunebridge::sim {
@@ -15,13 +14,8 @@
 
 Millis s(double seconds) { return from_seconds(seconds); }
 
-struct Scenario {
-    const char* name;
-    /// Injects the faults of a round; `round` counts from 0.
-    void (*inject)(FaultInjector& faults, int round);
-};
-
-void PrintTo(const Scenario& scenario, std::ostream* out) { *out << scenario.name; }
+// Injects the faults of a round. Rounds count from 0.
+using Scenario = NamedScenario<FaultInjector&, int>;
 
 constexpr int kRounds = 10;
 
@@ -59,6 +53,7 @@
     options.drain_s = 2000;
     options.jobs = 80;
     options.machines = 5;
+    scenario.options(options);
     SimulatedCluster cluster(options);
     cluster.faults().repeat_commands(1, s(1000));
     cluster.run_for(s(45));
@@ -80,10 +75,7 @@
 INSTANTIATE_TEST_SUITE_P(Named, RepeatedCommands,
                          testing::Combine(testing::ValuesIn(kScenarios),
                                           testing::Range<std::uint64_t>(1, 4)),
-                         [](const auto& p) {
-                             return std::string(std::get<0>(p.param).name) + "_" +
-                                    std::to_string(std::get<1>(p.param));
-                         });
+                         name_with_seed<Scenario>);
 
 }  // namespace
 }  // namespace dunebridge::sim
--- a/tests/sim/simulated_cluster.cpp
+++ b/tests/sim/simulated_cluster.cpp
@@ -70,7 +70,6 @@
 void SimulatedCluster::count_repeated_command(const MachineName& host,
                                               const wire::CommandBatch& batch, bool refused) {
     auto& statistics = sim_.statistics;
-    ++statistics.repeated_commands;
     if (refused) ++statistics.repeated_commands_fenced;
     for (const auto& command : batch.commands) {
         if (command.kind != wire::CommandKind::start) continue;
--- a/tests/sim/statistics.hpp
+++ b/tests/sim/statistics.hpp
@@ -25,9 +25,8 @@
     std::size_t starts_after_cancellation = 0;
     /// Those of them that were not on their way to the machine when the user was told.
     std::size_t starts_long_after_cancellation = 0;
-    /// Copies of executed direct commands that arrived for the current epoch of a worker, and those
-    /// of them that the worker refused because of their fencing token.
-    std::size_t repeated_commands = 0;
+    /// Copies of executed direct commands that arrived for the current epoch of a worker and were
+    /// refused because of their fencing token.
     std::size_t repeated_commands_fenced = 0;
     /// Start commands in those copies whose task was on another machine by then, and those whose
     /// job's user had been told that it is cancelled.
