Tests: one function makes the tasks of a machine fail

FaultInjector::fail_tasks and the faulty-machine fault of RandomFaults set and cleared the same flag; fail_tasks_on serves both.

--- a/tests/command_delivery_test.cpp
+++ b/tests/command_delivery_test.cpp
@@ -54,9 +54,8 @@
 // refused.
 TEST(ControllerTest, StartingATaskAnewRefusesRepeatsOfTheCommandThatStartedItBefore) {
     ControllerHarness s(1);
-    const auto first = job(1);
-    const TaskRef task{first.id, 0};
-    auto [w, direct] = run_by_direct_command(s, first);
+    const TaskRef task{job(1).id, 0};
+    auto [w, direct] = run_by_direct_command(s, job(1));
     ASSERT_EQ(s.submit(job(2)), 201);
     s.run(Millis(250));
     ASSERT_EQ(s.commands_in_flight().size(), 1u);  // starts the second job; not answered
--- a/tests/sim/fault_injector.cpp
+++ b/tests/sim/fault_injector.cpp
@@ -131,11 +131,15 @@
 void FaultInjector::fail_tasks(unsigned percent, Millis span) {
     for (auto& [host, worker] : workers_) {
         if (worker->gone() || sim_.fault_rng() % 100 >= percent) continue;
-        worker->set_faulty(true);
-        sim_.clock.after(span, [failing = worker.get()] { failing->set_faulty(false); });
+        fail_tasks_on(*worker, span);
     }
 }
 
+void FaultInjector::fail_tasks_on(FakeWorker& worker, Millis span) {
+    worker.set_faulty(true);
+    sim_.clock.after(span, [&worker] { worker.set_faulty(false); });
+}
+
 void FaultInjector::inject_worker_fault(WorkerFault how, unsigned percent, Millis span) {
     for (auto& [host, w] : workers_) {
         if (w->gone() || sim_.fault_rng() % 100 >= percent) continue;
--- a/tests/sim/fault_injector.hpp
+++ b/tests/sim/fault_injector.hpp
@@ -87,6 +87,8 @@
     void restart_workers(unsigned percent);
     /// Tasks fail on each machine with that probability, in percent.
     void fail_tasks(unsigned percent, Millis span);
+    /// Tasks fail on the worker's machine.
+    void fail_tasks_on(FakeWorker& worker, Millis span);
     /// A copy of that share of the heartbeats arrives again at some controller, up to three leases
     /// later.
     void duplicate_heartbeats(double share, Millis span) {
--- a/tests/sim/random_faults.cpp
+++ b/tests/sim/random_faults.cpp
@@ -108,9 +108,7 @@
             [](RandomFaults& self, const Fault& fault) { self.crash_repeatedly(fault.node); },
             [](RandomFaults& self, const Fault& fault) {
                 auto* worker = self.any_worker();
-                if (!worker) return;
-                worker->set_faulty(true);
-                self.sim_.clock.after(fault.span, [worker] { worker->set_faulty(false); });
+                if (worker) self.injector_.fail_tasks_on(*worker, fault.span);
             }};
 }
 
