--- a/review/standins-2/cases.hpp
+++ b/review/standins-2/cases.hpp
@@ -18,6 +18,18 @@
     return j;
 }
 
+// "Once accepted, a job must run": broken if no task of the job has completed although it was
+// accepted long enough ago for each task to run twice, and tasks of it were started and stopped again.
+inline void check_runs(World& w, int n) {
+    auto& u = w.users[job(n, 1, 1).id];
+    const double since = now() - u.accepted_at;
+    record("%s: accepted %.1f s ago, %.0f s a task, %d starts, %zu of %d tasks completed",
+           u.job.id.c_str(), since, u.job.run_s, u.starts, u.completed.size(), u.job.shards);
+    if (u.accepted && u.completed.empty() && since > 2 * u.job.run_s + 10 &&
+        u.starts > u.job.shards)
+        w.broke("never_runs", u.job.id + " was started again and again and no task completed");
+}
+
 inline const std::map<std::string, Case>& cases() {
     static const std::map<std::string, Case> all{
         // One-task jobs come, and some are cancelled at once. The state service answers slowly now
@@ -62,6 +74,43 @@
               record("slow answers of the state service: %d of %d", *slow, *all);
               co_return true;
           }}},
+        // Three of 75 jobs were submitted with a mistake: they fail on every machine. A sound job with
+        // longer tasks runs beside them.
+        {"jobs_with_a_mistake",
+         {[] { return Settings(); },
+          [](World& w, bool trouble) -> task<bool> {
+              auto sound = job(1, 8, 45);
+              sound.cls = "subtitle-sync", sound.team = "media-desk", sound.urgency = "standard";
+              w.submit(sound);
+              for (int n = 0; n < 71; ++n) {  // so that 3 of 75 jobs have a mistake
+                  co_await sleep_s(0.12);
+                  w.submit(job(100 + n, 1, 2));
+              }
+              co_await sleep_s(6);
+              if (trouble)
+                  for (int n = 0; n < 3; ++n) {
+                      auto j = job(50 + n, 4, 1.5);
+                      w.submit(j);
+                      w.users[j.id].failing = true;
+                  }
+              co_await sleep_s(112 - now());
+              check_runs(w, 1);
+              co_return true;
+          }}},
+        // One array of very small tasks, and a job of two ordinary tasks beside it.
+        {"small_tasks",
+         {[] { return Settings(); },
+          [](World& w, bool trouble) -> task<bool> {
+              auto small = job(1, 2500, 25);
+              small.cores = trouble ? 0.005 : 0.05;
+              small.ram = 0.01;
+              w.submit(small);
+              co_await sleep_s(6);
+              w.submit(job(2, 2, 25));
+              co_await sleep_s(112 - now());
+              for (int n = 0; n < 2; ++n) check_runs(w, 1 + n);
+              co_return true;
+          }}},
     };
     return all;
 }
--- a/review/standins-2/platform.hpp
+++ b/review/standins-2/platform.hpp
@@ -712,7 +712,8 @@
     double completed_at = 1e18, first_start = 1e18;
     double last_answer = 0;
     double waiting_since = -1, longest_wait = 0;
-    bool failing = false;
+    bool failing = false;  // every task of it fails, on every machine
+    int starts = 0;
     int refused_status = 0;
 };
 
@@ -1225,6 +1226,7 @@
         const auto [id, index] = split(shard);
         auto& u = users[id];
         u.first_start = std::min(u.first_start, now());
+        ++u.starts;
         record("start %s on %s", shard.c_str(), at.host.c_str());
         std::map<std::string, int> zones;
         for (auto& [h, w] : workers) {
