--- a/review/standins-2/platform.hpp
+++ b/review/standins-2/platform.hpp
@@ -1227,7 +1227,8 @@
         auto& u = users[id];
         u.first_start = std::min(u.first_start, now());
         ++u.starts;
-        record("start %s on %s", shard.c_str(), at.host.c_str());
+        if (u.job.shards < 1000 || index % 100 == 0)  // of a large array only some
+            record("start %s on %s", shard.c_str(), at.host.c_str());
         std::map<std::string, int> zones;
         for (auto& [h, w] : workers) {
             if (w.get() != &at && w->holds(shard)) broke("ran_twice", shard);
@@ -1377,12 +1378,22 @@
     }
 }
 inline void Worker::execute(const J& orders) {
+    // Long lists of orders are recorded by their number, the first and the last.
+    const bool many = orders.a.size() > 20;
+    if (many) {
+        const auto& first = orders.a.front();
+        const auto& last = orders.a.back();
+        record("orders %s %zu of them: %s %s to %s %s", host.c_str(), orders.a.size(),
+               first["verb"].s.c_str(), first["shard"].s.c_str(), last["verb"].s.c_str(),
+               last["shard"].s.c_str());
+    }
     for (const auto& o : orders.a) {
         const auto id = o["shard"].s;
         const auto attempt = o["try"].n();
         const auto verb = o["verb"].s;
-        record("order %s %s %s try=%llu", host.c_str(), verb.c_str(), id.c_str(),
-               static_cast<unsigned long long>(attempt));
+        if (!many)
+            record("order %s %s %s try=%llu", host.c_str(), verb.c_str(), id.c_str(),
+                   static_cast<unsigned long long>(attempt));
         const std::pair<std::string, std::uint64_t> key(id, attempt);
         const auto it = tasks.find(key);
         if (verb == "start") {
@@ -1434,7 +1445,8 @@
         } else if (t.phase == "running") {
             t.phase = "exited";
             t.why = u.failing ? "error" : "done";
-            record("exited %s %s on %s", id.c_str(), t.why.c_str(), host.c_str());
+            if (u.job.shards < 1000 || index % 100 == 0)
+                record("exited %s %s on %s", id.c_str(), t.why.c_str(), host.c_str());
             if (t.why == "done") u.completed.insert(index);
             if (static_cast<int>(u.completed.size()) == u.job.shards && u.completed_at > 1e17)
                 u.completed_at = now();
@@ -1471,6 +1483,7 @@
         changed = false;
         const auto session = tenure;
         const auto body = report_body().packed();
+        const auto body_size = body.size();
         Res r;
         if (mute || w.workers_cut[node]) {
             co_await sleep_s(4);
@@ -1486,6 +1499,12 @@
             see_token(j["epoch"].n());
             lease_from = sent;
             execute(j["orders"]);
+        } else if (r.status == 400) {
+            record("report of %s, %zu bytes, %zu tasks, at %zu -> 400", host.c_str(), body_size,
+                   tasks.size(), node);
+            node = (node + 1) % n;
+            co_await sleep_s(1);
+            next_report = 0;
         } else if (r.status == 421) {
             const auto to = r.json()["leader"].s;
             std::optional<std::size_t> other;
