--- a/review/standins-2/platform.hpp
+++ b/review/standins-2/platform.hpp
@@ -251,17 +251,14 @@
     }
 }
 
-// A free port below those that the system hands out by itself, for a controller to listen on.
+// A free port for a controller. The socket stays open without listening, so that nobody else is given
+// the port; the controller, which also binds with SO_REUSEADDR, can listen on it.
 inline std::shared_ptr<tcp::acceptor> hold_free_port() {
-    static std::mt19937 draw{std::random_device{}()};
-    for (;;) {
-        auto a = std::make_shared<tcp::acceptor>(io());
-        a->open(tcp::v4());
-        error_code ec;
-        const auto port = static_cast<std::uint16_t>(12000 + draw() % 20000);
-        a->bind({asio::ip::address_v4::loopback(), port}, ec);
-        if (!ec) return a;
-    }
+    auto a = std::make_shared<tcp::acceptor>(io());
+    a->open(tcp::v4());
+    a->bind({asio::ip::address_v4::loopback(), 0});
+    a->set_option(tcp::acceptor::reuse_address(true));
+    return a;
 }
 
 struct Server {
@@ -751,6 +748,7 @@
     std::mt19937 rng;
     std::string program, dir, log_level = "info";
     std::vector<std::unique_ptr<Controller>> controllers;
+    std::vector<std::shared_ptr<tcp::acceptor>> held_ports;
     std::map<std::pair<std::size_t, std::size_t>, std::shared_ptr<Link>> links;
     // Cloud.
     struct Rental {
@@ -804,7 +802,6 @@
     // ---- controllers ----
 
     void add_controllers(std::size_t n) {
-        std::vector<std::pair<std::shared_ptr<tcp::acceptor>, std::shared_ptr<tcp::acceptor>>> held;
         for (std::size_t i = 0; i < n; ++i) {
             auto c = std::make_unique<Controller>();
             c->name = "dunehost-" + std::to_string(i);
@@ -812,15 +809,12 @@
             auto a = hold_free_port(), b = hold_free_port();
             c->front = a->local_endpoint().port();
             c->back = b->local_endpoint().port();
-            held.emplace_back(a, b);
+            held_ports.push_back(a);
+            held_ports.push_back(b);
             c->state_port = state.listen(static_cast<int>(i)).port;
             c->dir = dir;
             controllers.push_back(std::move(c));
         }
-        for (auto& [a, b] : held) {
-            a->close();
-            b->close();
-        }
         workers_cut.assign(n, false);
         for (std::size_t i = 0; i < n; ++i)
             for (std::size_t j = 0; j < n; ++j)
