--- a/review/standins-2/cases.hpp
+++ b/review/standins-2/cases.hpp
@@ -51,7 +51,7 @@
                   return w.uniform(0.002, 0.008);
               };
               for (int n = 0; n < 3; ++n) {  // a machine in each zone, with room
-                  auto j = job(1 + n, 6, 300);
+                  auto j = job(1 + n, 6, 40);
                   j.region = w.settings.zones[n];
                   w.submit(j);
               }
@@ -72,6 +72,7 @@
                   co_await sleep_s(w.uniform(0.9, 1.1));
               }
               record("slow answers of the state service: %d of %d", *slow, *all);
+              for (int n = 0; n < 3; ++n) check_runs(w, 1 + n);
               co_return true;
           }}},
         // Three of 75 jobs were submitted with a mistake: they fail on every machine. A sound job with
